--- a/include/siskinflow/control/message_type.hpp
+++ b/include/siskinflow/control/message_type.hpp
@@ -33,6 +33,7 @@
     acknowledgement = 12,
     counters_request = 13,
     counters_bundle = 14,
+    peer_state = 15,
 };
 
 /// @brief Name of a message type in snake_case, "unknown" if undefined.
--- /dev/null
+++ b/include/siskinflow/gateway/gateway_node.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// @brief The gateway daemon: serves callers through registered targets.
+#pragma once
+
+#include <siskinflow/core/error.hpp>
+#include <siskinflow/gateway/dialect.hpp>
+#include <siskinflow/gateway/gateway_settings.hpp>
+#include <siskinflow/gateway/record_format.hpp>
+#include <siskinflow/net/event_loop.hpp>
+#include <siskinflow/net/http_client.hpp>
+#include <siskinflow/store/lease_store.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace siskinflow::gateway
+{
+
+/// @brief What connects the gateway with the platform that it runs on. All
+/// must outlive the node.
+struct gateway_platform
+{
+    lease_store& store;
+    const dialect& speech;
+    const record_format& records;
+};
+
+/// @brief One entry VM whose operators, targets and peers meet in the store.
+class gateway_node
+{
+public:
+    /// @brief Starts to listen and to read the store.
+    /// @param loop runs the node; must outlive it
+    /// @param caller makes the calls to targets; must outlive the node
+    /// @return the node, or the error of the listener that can't be opened
+    static result<std::unique_ptr<gateway_node>>
+    start(net::event_loop& loop, net::http_caller& caller,
+          const gateway_platform& platform, gateway_settings settings);
+
+    ~gateway_node();
+
+    /// @brief Leaves gracefully: callers are sent elsewhere, requests in
+    /// progress finish.
+    void stop();
+
+    /// @brief Logs that the settings have changed; those of a running process
+    /// stay.
+    void reload();
+
+    /// @brief Called once the node has stopped.
+    void on_stopped(std::function<void()> callback);
+
+    struct impl;
+
+private:
+    explicit gateway_node(std::unique_ptr<impl> state);
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/include/siskinflow/gateway/gateway_settings.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// @brief Settings of the gateway daemon.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+#include <siskinflow/core/error.hpp>
+#include <siskinflow/gateway/peers.hpp>
+#include <siskinflow/net/endpoint.hpp>
+#include <siskinflow/telemetry/log.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Checked settings; docs/gateway-settings.md describes each.
+struct gateway_settings
+{
+    vm_record self;
+    net::endpoint readiness_listen;
+    net::endpoint directory_listen;
+    net::endpoint metrics_listen;
+    net::endpoint store;
+    /// Region of each failure domain of the deployment.
+    std::map<std::string, std::string> regions;
+    std::size_t max_connections = 0;
+    duration stop_grace{0};      ///< From SIGTERM to the forced end.
+    duration lookup_lifetime{0}; ///< Of an answer that names VMs.
+    double retry_ratio = 0; ///< Further attempts for each request, all VMs.
+    double retry_slack = 0; ///< Further attempts beyond the ratio, all VMs.
+    /// Requests that a cold target may get in a second beyond its rate.
+    double cold_slack = 0;
+    log_level level = log_level::info;
+    log_format format = log_format::logfmt;
+};
+
+/// @brief Names of all flags of the gateway daemon, in the order of the page.
+const std::vector<std::string>& gateway_setting_names();
+
+/// @brief Reads the settings from environment and command line.
+/// @return the settings; nothing if --help was given; otherwise
+/// `errc::invalid_argument` with one line that names the flag
+result<std::optional<gateway_settings>>
+load_gateway_settings(int argc, const char* const* argv);
+
+/// @brief Text for --help.
+std::string gateway_settings_help();
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/include/siskinflow/gateway/work_estimate.hpp
@@ -0,0 +1,34 @@
+/// @file
+/// @brief Learns the work time of a route's requests.
+#pragma once
+
+#include <siskinflow/gateway/placement.hpp>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Moving averages of cold and warm work time.
+class work_estimate
+{
+public:
+    /// @brief Starts from the route's objective: most cold work takes a
+    /// little longer than it, most warm work well under half.
+    explicit work_estimate(duration objective);
+
+    /// @brief Adds the time of a request that did not queue at its target.
+    /// @param taken from sending to the whole answer, without the trip
+    /// @param expected_warm whether the target was expected to be warm
+    /// @return whether the target was warm, by the time taken
+    bool observe(duration taken, bool expected_warm);
+
+    /// @brief Current estimate.
+    work_time current() const
+    {
+        return current_;
+    }
+
+private:
+    work_time current_;
+};
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/include/siskinflow/store/lease_keeper.hpp
@@ -0,0 +1,40 @@
+/// @file
+/// @brief Keeps one key in the store for as long as this process lives.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+#include <siskinflow/core/timer_queue.hpp>
+#include <siskinflow/store/lease_store.hpp>
+
+#include <memory>
+#include <string>
+
+namespace siskinflow
+{
+
+/// @brief Writes a key under a lease and renews it. A lease that the store
+/// ended is replaced by a new one, and the key is written again.
+class lease_keeper
+{
+public:
+    /// @param source the store; must outlive the keeper
+    /// @param timers run the renewals; must outlive the keeper
+    /// @param ttl time after which the key goes if this process ends
+    lease_keeper(lease_store& source, timer_queue& timers, const clock& time,
+                 std::string key, std::string value, duration ttl);
+    ~lease_keeper();
+    lease_keeper(const lease_keeper&) = delete;
+    lease_keeper& operator=(const lease_keeper&) = delete;
+
+    /// @brief Takes a lease and writes the key.
+    void start();
+
+    /// @brief Removes the key and stops renewing.
+    void stop();
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace siskinflow
--- /dev/null
+++ b/include/siskinflow/store/lease_store.hpp
@@ -0,0 +1,84 @@
+/// @file
+/// @brief Interface of a store with prefixes, watches and leases.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+#include <siskinflow/core/error.hpp>
+#include <siskinflow/store/store.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace siskinflow
+{
+
+/// @brief State of one key after a change.
+struct store_change
+{
+    std::string key;
+    std::string value;           ///< Empty if the key was removed.
+    store_revision revision = 0; ///< Of the change.
+    bool removed = false;
+};
+
+/// @brief Keys of a prefix, or changes of them, up to a revision.
+struct store_page
+{
+    std::vector<store_change> entries;
+    /// Every change up to here is in this or an earlier page.
+    store_revision revision = 0;
+};
+
+/// @brief A lease: keys written under it go when it ends.
+struct store_lease
+{
+    std::uint64_t id = 0;
+    duration ttl{0}; ///< From the arrival of each renewal.
+};
+
+/// @brief Client of such a store. Each call ends with exactly one callback,
+/// never before the call has returned.
+class lease_store
+{
+public:
+    virtual ~lease_store() = default;
+
+    template <class T>
+    using callback = std::function<void(result<T>)>;
+
+    /// @brief Reads all keys of a prefix. The entries need not be from one
+    /// instant; changes after the page's revision bring them up to date.
+    /// @param done `errc::timeout` or `errc::unavailable` on failure
+    virtual void list(std::string prefix, duration timeout,
+                      callback<store_page> done) = 0;
+
+    /// @brief Waits for changes of a prefix.
+    /// @param after revision up to which everything is known
+    /// @param wait longest time without a change; the page is empty then
+    /// @param done `errc::stale` if the store has dropped that history;
+    /// `errc::timeout` or `errc::unavailable` on failure
+    virtual void await_changes(std::string prefix, store_revision after,
+                               duration wait, callback<store_page> done) = 0;
+
+    /// @brief Takes a lease.
+    virtual void grant_lease(duration ttl, duration timeout,
+                             callback<store_lease> done) = 0;
+
+    /// @brief Renews a lease.
+    /// @param done `errc::not_found` if it has ended
+    virtual void renew_lease(std::uint64_t id, duration timeout,
+                             callback<void> done) = 0;
+
+    /// @brief Ends a lease and removes its keys.
+    virtual void end_lease(std::uint64_t id, duration timeout,
+                           callback<void> done) = 0;
+
+    /// @brief Writes a key under a lease, whatever it held before.
+    /// @param done `errc::not_found` if the lease has ended
+    virtual void put(std::string key, std::string value, std::uint64_t lease,
+                     duration timeout, callback<void> done) = 0;
+};
+
+} // namespace siskinflow
--- /dev/null
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -0,0 +1,72 @@
+/// @file
+/// @brief Keeps a copy of a prefix of the store up to date.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+#include <siskinflow/core/timer_queue.hpp>
+#include <siskinflow/store/lease_store.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinflow
+{
+
+/// @brief Receives what changed in a mirrored prefix.
+class mirror_listener
+{
+public:
+    virtual ~mirror_listener() = default;
+
+    /// @brief A key was written or removed. Versions of one key arrive in
+    /// order; versions in between may be left out.
+    virtual void on_change(const store_change& change) = 0;
+
+    /// @brief All keys of a listing have been reported.
+    virtual void on_listed() = 0;
+
+    /// @brief Calls began to fail.
+    virtual void on_unavailable(const error& reason) = 0;
+
+    /// @brief Calls succeed again.
+    virtual void on_available(duration down) = 0;
+};
+
+/// @brief Lists a prefix once and then follows its changes by watches. After a
+/// failure it goes on from the last revision known; when the store has dropped
+/// that history, it lists again and reports the difference.
+class store_mirror
+{
+public:
+    /// @param source the store; must outlive the mirror
+    /// @param timers run the retries; must outlive the mirror
+    /// @param time the timers' clock
+    /// @param prefix keys to mirror
+    /// @param listener told of changes; must outlive the mirror
+    store_mirror(lease_store& source, timer_queue& timers, const clock& time,
+                 std::string prefix, mirror_listener& listener);
+    ~store_mirror();
+    store_mirror(const store_mirror&) = delete;
+    store_mirror& operator=(const store_mirror&) = delete;
+
+    /// @brief Begins with the listing.
+    void start();
+
+    /// @brief Whether a listing has been completed.
+    bool listed() const;
+
+    /// @brief Whether the last call failed.
+    bool unavailable() const;
+
+    /// @brief When calls last succeeded again after a failure; the start of
+    /// the clock if they never failed.
+    time_point available_since() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace siskinflow
--- a/include/siskinflow/telemetry/event_id.hpp
+++ b/include/siskinflow/telemetry/event_id.hpp
@@ -59,6 +59,17 @@
     report_replicas_differ = 1001,
     site_map_loaded = 1101,
     site_map_load_failed = 1102,
+    request_served = 1201,
+    request_not_served = 1202,
+    target_registration_changed = 1203,
+    target_registration_refused = 1204,
+    policy_in_force = 1205,
+    policy_refused = 1206,
+    evacuation_changed = 1207,
+    readiness_changed = 1208,
+    peer_changed = 1209,
+    settings_reloaded = 1210,
+    rate_share_changed = 1211,
 };
 
 /// @brief One row of the table, described in `docs/events.md`.
--- a/include/siskinflow/telemetry/log.hpp
+++ b/include/siskinflow/telemetry/log.hpp
@@ -73,6 +73,8 @@
 {
     log_level least = log_level::info; ///< Events below it are left out.
     log_format format = log_format::logfmt;
+    std::uint32_t burst = 10;      ///< Lines of one event at once.
+    std::uint32_t lines_per_s = 1; ///< Lines of one event after a burst.
 };
 
 /// @brief Whether a field of this name could hold a tenant key or another
@@ -82,18 +84,21 @@
 /// @brief Receives finished lines without the line end.
 using log_output = std::function<void(std::string_view line)>;
 
+/// @brief Writes lines to a descriptor without ever blocking: a line that the
+/// other end has no room for is dropped and counted.
+/// @param descriptor a pipe, a terminal or a file; must outlive the output
+/// @param dropped counts the lines that were dropped; must outlive the output
+log_output non_blocking_output(int descriptor, std::uint64_t& dropped);
+
 /// @brief Writes events as `key=value` lines (logfmt) to standard error:
 /// `ts=TIME level=LEVEL event=NUMBER name=NAME FIELD=VALUE...`, or as one JSON
 /// object per line with the same fields.
 ///
-/// Each event may write `burst` lines at once and one line per `interval`
-/// after that; the next line says how many were suppressed.
+/// Each event may write `burst` lines at once and `lines_per_s` after that; the
+/// next line says how many were suppressed.
 class event_log
 {
 public:
-    static constexpr std::uint32_t burst = 10;
-    static constexpr duration interval = std::chrono::seconds(1);
-
     /// @param time for the rate limit; must outlive the log
     /// @param output replaces standard error, for tests
     /// @param options level and form
@@ -107,6 +112,11 @@
     /// are left out and named in the field `undeclared`.
     void write(event_id id, std::initializer_list<log_field> fields = {});
 
+    /// @brief Whether `write` would write a line of this event now. Asked where
+    /// the fields are costly to gather; a line that would be suppressed is
+    /// counted as such.
+    bool accepts(event_id id);
+
     /// @brief Writes the counts of suppressed lines that no later line has
     /// told, for instance every minute and before the process stops.
     void flush();
--- /dev/null
+++ b/src/gateway/gateway_node.cpp
@@ -0,0 +1,390 @@
+#include "gateway_state.hpp"
+#include "request_flow.hpp"
+#include "state_feed.hpp"
+#include <siskinflow/control/codec.hpp>
+#include <siskinflow/core/ids.hpp>
+#include <siskinflow/entry/vm_lifecycle.hpp>
+#include <siskinflow/gateway/gateway_node.hpp>
+#include <siskinflow/net/http_server.hpp>
+#include <siskinflow/net/udp_socket.hpp>
+#include <siskinflow/store/lease_keeper.hpp>
+
+#include <algorithm>
+#include <unistd.h>
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Time between two messages to each peer.
+constexpr duration peer_interval = std::chrono::milliseconds(500);
+/// Time between two tries to place what waits, for room that no answer of this
+/// VM's own requests announces.
+constexpr duration placing_interval = std::chrono::milliseconds(25);
+/// Lifetime of this VM's entry in the store.
+constexpr duration registration_ttl = std::chrono::seconds(4);
+/// Callers may keep a lookup answer for three of its lifetimes.
+constexpr int lookup_lifetimes = 3;
+/// Time before the forced end at which no new request is taken.
+constexpr duration end_margin = std::chrono::milliseconds(700);
+constexpr duration idle_check = std::chrono::milliseconds(20);
+/// Lines of one event in a burst and in a second: enough for each failed
+/// request of an ordinary day, few enough to cost under 1% of a small VM.
+constexpr std::uint32_t log_burst = 60;
+constexpr std::uint32_t log_lines_per_s = 12;
+constexpr std::size_t most_body_bytes = 64U << 20;
+/// Above the idle timeouts that policies set for callers; callers close first.
+constexpr duration caller_idle_timeout = std::chrono::seconds(60);
+
+log_options options_of(const gateway_settings& settings)
+{
+    return {settings.level, settings.format, log_burst, log_lines_per_s};
+}
+
+} // namespace
+
+struct gateway_node::impl
+{
+    impl(net::event_loop& loop_in, net::http_caller& caller,
+         const gateway_platform& platform_in, gateway_settings settings)
+        : loop(loop_in), platform(platform_in),
+          log(loop_in.time(), non_blocking_output(STDOUT_FILENO, lost_lines),
+              options_of(settings)),
+          state(loop_in, caller, platform_in.speech, log, numbers,
+                std::move(settings)),
+          operators(state, platform_in.records),
+          registrations(state, platform_in.records), vms(state),
+          operator_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
+                          platform_in.records.operator_prefix(), operators),
+          target_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
+                        platform_in.records.target_prefix(), registrations),
+          vm_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
+                    vm_prefix, vms),
+          registration(platform_in.store, loop_in.timers(), loop_in.time(),
+                       vm_prefix + state.settings.self.name,
+                       to_json(state.settings.self), registration_ttl)
+    {
+    }
+
+    net::event_loop& loop;
+    gateway_platform platform;
+    std::uint64_t lost_lines = 0;
+    event_log log;
+    metrics numbers;
+    gateway_state state;
+    operator_feed operators;
+    target_feed registrations;
+    vm_feed vms;
+    store_mirror operator_mirror;
+    store_mirror target_mirror;
+    store_mirror vm_mirror;
+    lease_keeper registration;
+    vm_lifecycle life;
+    incarnation_id incarnation = make_incarnation_id();
+    std::unique_ptr<net::http_server> requests;
+    std::unique_ptr<net::http_server> readiness;
+    std::unique_ptr<net::http_server> directory;
+    std::unique_ptr<net::http_server> metrics_page;
+    std::unique_ptr<net::udp_socket> peer_socket;
+    std::vector<std::shared_ptr<void>> timers;
+    std::function<void()> on_stopped;
+    time_point started{};
+    time_point stop_at{};
+
+    bool ready() const
+    {
+        return life.state() == lifecycle_state::serving;
+    }
+
+    result<void> listen();
+    void begin();
+    void check_ready();
+    void on_request(const net::exchange_ptr& exchange);
+    void on_readiness(const net::exchange_ptr& exchange) const;
+    void on_lookup(const net::exchange_ptr& exchange);
+    void on_metrics(const net::exchange_ptr& exchange);
+    void on_peer_message(std::string_view payload);
+    void tell_peers();
+    void stop();
+    void end_when_idle();
+};
+
+result<void> gateway_node::impl::listen()
+{
+    const gateway_settings& settings = state.settings;
+    net::http_server_options options;
+    options.max_body_bytes = most_body_bytes;
+    options.max_connections = settings.max_connections;
+    options.request_timeout = caller_idle_timeout;
+    using handler = net::http_server::handler;
+    struct listener
+    {
+        const char* purpose;
+        net::endpoint address;
+        std::unique_ptr<net::http_server>* server;
+        handler handle;
+    };
+    const listener listeners[] = {
+        {"requests", settings.self.requests, &requests,
+         [this](const net::exchange_ptr& exchange) { on_request(exchange); }},
+        {"readiness", settings.readiness_listen, &readiness,
+         [this](const net::exchange_ptr& exchange) { on_readiness(exchange); }},
+        {"directory", settings.directory_listen, &directory,
+         [this](const net::exchange_ptr& exchange) { on_lookup(exchange); }},
+        {"metrics", settings.metrics_listen, &metrics_page,
+         [this](const net::exchange_ptr& exchange) { on_metrics(exchange); }}};
+    for (const listener& entry : listeners)
+    {
+        auto opened = net::http_server::listen(loop, entry.address, options,
+                                               entry.handle);
+        if (!opened)
+        {
+            return opened.error();
+        }
+        *entry.server = std::move(opened).value();
+        log.write(event_id::listening,
+                  {{"purpose", entry.purpose},
+                   {"address", net::to_string(entry.address)}});
+    }
+    auto socket = net::udp_socket::bind(
+        loop, settings.self.peers,
+        [this](const net::endpoint& /*from*/, std::string_view payload)
+        { on_peer_message(payload); });
+    if (!socket)
+    {
+        return socket.error();
+    }
+    peer_socket = std::move(socket).value();
+    return ok();
+}
+
+void gateway_node::impl::begin()
+{
+    started = state.now();
+    log.write(event_id::started,
+              {{"vm", state.settings.self.name},
+               {"incarnation", to_string(incarnation)},
+               {"region", state.settings.self.region},
+               {"failure_domain", state.settings.self.failure_domain}});
+    life.on_change(
+        [this](lifecycle_state from, lifecycle_state to)
+        {
+            log.write(event_id::lifecycle_changed,
+                      {{"from", name(from)}, {"to", name(to)}});
+        });
+    operator_mirror.start();
+    target_mirror.start();
+    vm_mirror.start();
+    registration.start();
+    timers.push_back(loop.every(peer_interval, [this] { tell_peers(); }));
+    timers.push_back(loop.every(placing_interval,
+                                [this]
+                                {
+                                    check_ready();
+                                    state.place_all_waiting();
+                                }));
+}
+
+void gateway_node::impl::check_ready()
+{
+    if (life.state() != lifecycle_state::starting || state.policy == nullptr ||
+        !target_mirror.listed())
+    {
+        return;
+    }
+    life.apply(lifecycle_event::ready);
+    state.peers.serve(true);
+    log.write(event_id::readiness_changed,
+              {{"ready", true}, {"reason", "a policy is in force"}});
+    tell_peers();
+}
+
+void gateway_node::impl::on_request(const net::exchange_ptr& exchange)
+{
+    std::make_shared<request_flow>(state, exchange)->start();
+}
+
+void gateway_node::impl::on_readiness(const net::exchange_ptr& exchange) const
+{
+    constexpr int unavailable = 503;
+    exchange->respond({ready() ? 200 : unavailable,
+                       {{"content-type", "application/json"}},
+                       ready() ? "{\"ready\":true}\n" : "{\"ready\":false}\n"});
+}
+
+void gateway_node::impl::on_lookup(const net::exchange_ptr& exchange)
+{
+    const lookup_terms terms = platform.speech.read_lookup(exchange->request());
+    const auto vms =
+        state.peers.lookup(terms.failure_domain, terms.region, state.now());
+    if (vms.empty())
+    {
+        constexpr int unavailable = 503;
+        exchange->respond({unavailable, {{"retry-after", "0.5"}}, {}});
+        return;
+    }
+    exchange->respond(
+        platform.speech.lookup_answer(vms, state.settings.lookup_lifetime));
+}
+
+void gateway_node::impl::on_metrics(const net::exchange_ptr& exchange)
+{
+    numbers.counter(metric_id::log_lines_suppressed)
+        .raise_to(log.suppressed() + lost_lines);
+    exchange->respond({200,
+                       {{"content-type", "text/plain; version=0.0.4"}},
+                       numbers.render(state.now())});
+}
+
+void gateway_node::impl::on_peer_message(std::string_view payload)
+{
+    const auto envelope = control::decode(payload, control::max_datagram_bytes);
+    if (!envelope)
+    {
+        log.write(event_id::message_dropped,
+                  {{"transport", "udp"},
+                   {"reason", envelope.error().message},
+                   {"bytes", payload.size()}});
+        return;
+    }
+    const auto message = control::read<peer_state>(envelope.value());
+    if (!message)
+    {
+        log.write(event_id::message_dropped,
+                  {{"transport", "udp"},
+                   {"reason", message.error().message},
+                   {"bytes", payload.size()}});
+        return;
+    }
+    const peer_state& told = message.value();
+    state.peers.on_heard(told.vm, told.serving, state.now());
+    if (state.policy == nullptr)
+    {
+        return;
+    }
+    for (const organisation_policy& entry :
+         state.policy->document().organisations)
+    {
+        const std::uint32_t number = organisation_number(entry.name);
+        const auto demand =
+            std::find_if(told.demands.begin(), told.demands.end(),
+                         [number](const organisation_demand& candidate)
+                         { return candidate.organisation == number; });
+        state.shares[entry.name].on_peer_demand(
+            told.vm, demand == told.demands.end() ? 0 : demand->per_s,
+            state.now());
+    }
+}
+
+void gateway_node::impl::tell_peers()
+{
+    state.peers.expire(state.now());
+    state.update_shares();
+    peer_state message;
+    message.vm = state.settings.self.name;
+    message.serving = ready();
+    constexpr double least_demand_per_s = 0.05;
+    for (const auto& [organisation, share] : state.shares)
+    {
+        const double demand = share.demand(state.now());
+        if (demand > least_demand_per_s)
+        {
+            message.demands.push_back({organisation_number(organisation),
+                                       static_cast<float>(demand)});
+        }
+    }
+    const std::string encoded = control::encode(incarnation, message);
+    for (const net::endpoint& peer : state.peers.peers())
+    {
+        peer_socket->send(peer, encoded);
+    }
+}
+
+void gateway_node::impl::stop()
+{
+    if (stop_at != time_point{})
+    {
+        return;
+    }
+    stop_at = state.now() + state.settings.stop_grace - end_margin;
+    const bool was_ready = ready();
+    life.apply(lifecycle_event::stop);
+    state.leaving = true;
+    state.peers.serve(false);
+    if (was_ready)
+    {
+        log.write(
+            event_id::readiness_changed,
+            {{"ready", false}, {"reason", "the process was told to stop"}});
+    }
+    registration.stop();
+    tell_peers();
+    requests->close_after_responses();
+    const duration lookups = state.settings.lookup_lifetime * lookup_lifetimes;
+    loop.after(lookups,
+               [this] { life.apply(lifecycle_event::lookups_expired); });
+    timers.push_back(loop.every(idle_check, [this] { end_when_idle(); }));
+}
+
+void gateway_node::impl::end_when_idle()
+{
+    const bool idle = state.in_progress.empty();
+    const bool draining = life.state() != lifecycle_state::leaving;
+    if (!(idle && draining) && state.now() < stop_at)
+    {
+        return;
+    }
+    if (on_stopped == nullptr)
+    {
+        return;
+    }
+    life.apply(lifecycle_event::idle);
+    log.flush();
+    log.write(event_id::stopped,
+              {{"reason", idle ? "idle" : "the grace time is over"},
+               {"uptime_s", to_seconds(state.now() - started)}});
+    const auto callback = std::exchange(on_stopped, nullptr);
+    callback();
+}
+
+gateway_node::gateway_node(std::unique_ptr<impl> state)
+    : impl_(std::move(state))
+{
+}
+
+gateway_node::~gateway_node() = default;
+
+result<std::unique_ptr<gateway_node>>
+gateway_node::start(net::event_loop& loop, net::http_caller& caller,
+                    const gateway_platform& platform, gateway_settings settings)
+{
+    auto state =
+        std::make_unique<impl>(loop, caller, platform, std::move(settings));
+    const auto listening = state->listen();
+    if (!listening)
+    {
+        return listening.error();
+    }
+    state->begin();
+    return std::unique_ptr<gateway_node>(new gateway_node(std::move(state)));
+}
+
+void gateway_node::stop()
+{
+    impl_->stop();
+}
+
+void gateway_node::reload()
+{
+    impl_->log.write(event_id::settings_reloaded,
+                     {{"outcome", "settings apply from the next start"}});
+}
+
+void gateway_node::on_stopped(std::function<void()> callback)
+{
+    impl_->on_stopped = std::move(callback);
+}
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,186 @@
+#include "../config/flag_checker.hpp"
+#include <siskinflow/config/flags.hpp>
+#include <siskinflow/gateway/gateway_settings.hpp>
+
+#include <gflags/gflags.h>
+
+#include <sstream>
+
+DECLARE_string(vm_name);
+DECLARE_string(region);
+DECLARE_string(failure_domain);
+DECLARE_string(http_listen);
+DECLARE_string(control_listen);
+DECLARE_string(store);
+DECLARE_uint64(max_connections);
+DECLARE_string(log_level);
+DECLARE_string(log_format);
+
+DEFINE_string(readiness_listen, "127.0.0.1:8082",
+              "Address and port of the readiness check");
+DEFINE_string(directory_listen, "127.0.0.1:8083",
+              "Address and port that tells callers which VMs to use");
+DEFINE_string(metrics_listen, "127.0.0.1:8084",
+              "Address and port of the metrics");
+DEFINE_string(domain_regions, "",
+              "Region of each failure domain, as domain=region with commas "
+              "between them");
+DEFINE_string(stop_grace, "6s",
+              "Time from SIGTERM to the forced end of the process");
+DEFINE_string(directory_lifetime, "1s", "Lifetime of an answer that names VMs");
+DEFINE_double(retry_ratio, 0.2,
+              "Further attempts that are allowed for each request, over all "
+              "VMs (0-1)");
+DEFINE_double(retry_slack, 50,
+              "Further attempts that are allowed beyond the ratio, over all "
+              "VMs (0-100000)");
+DEFINE_double(cold_slack, 5,
+              "Requests in a second that a cold target may get beyond its "
+              "rate, over all VMs (0-1000)");
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+void check_ratio(flag_checker& check, std::string_view flag, double value,
+                 double most)
+{
+    if (!(value >= 0 && value <= most))
+    {
+        check.refuse(flag, "is not from 0 to " + std::to_string(most));
+    }
+}
+
+std::map<std::string, std::string> read_regions(flag_checker& check,
+                                                const std::string& text)
+{
+    std::map<std::string, std::string> out;
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');)
+    {
+        const auto equals = part.find('=');
+        if (equals == std::string::npos || equals == 0 ||
+            equals + 1 == part.size())
+        {
+            check.refuse("domain_regions",
+                         "'" + part + "' is not of the form domain=region");
+            return out;
+        }
+        out[part.substr(0, equals)] = part.substr(equals + 1);
+    }
+    return out;
+}
+
+void check_self(flag_checker& check, gateway_settings& out)
+{
+    out.self.name = check.name_text("vm_name", FLAGS_vm_name);
+    out.self.region = check.name_text("region", FLAGS_region);
+    out.self.failure_domain =
+        check.name_text("failure_domain", FLAGS_failure_domain);
+    out.self.requests = check.reachable("http_listen", FLAGS_http_listen, {});
+    out.self.peers =
+        check.reachable("control_listen", FLAGS_control_listen, {});
+}
+
+void check_addresses(flag_checker& check, gateway_settings& out)
+{
+    out.readiness_listen =
+        check.address("readiness_listen", FLAGS_readiness_listen);
+    out.directory_listen =
+        check.address("directory_listen", FLAGS_directory_listen);
+    out.metrics_listen = check.address("metrics_listen", FLAGS_metrics_listen);
+    out.store = check.address("store", FLAGS_store);
+    out.regions = read_regions(check, FLAGS_domain_regions);
+    out.regions[out.self.failure_domain] = out.self.region;
+}
+
+void check_limits(flag_checker& check, gateway_settings& out)
+{
+    out.max_connections =
+        check.number("max_connections", FLAGS_max_connections, 1, 1'000'000);
+    out.stop_grace = check.time("stop_grace", FLAGS_stop_grace);
+    out.lookup_lifetime =
+        check.time("directory_lifetime", FLAGS_directory_lifetime);
+    check_ratio(check, "retry_ratio", FLAGS_retry_ratio, 1);
+    check_ratio(check, "retry_slack", FLAGS_retry_slack, 100'000);
+    check_ratio(check, "cold_slack", FLAGS_cold_slack, 1000);
+    out.retry_ratio = FLAGS_retry_ratio;
+    out.retry_slack = FLAGS_retry_slack;
+    out.cold_slack = FLAGS_cold_slack;
+}
+
+void check_log(flag_checker& check, gateway_settings& out)
+{
+    out.level =
+        check.choice("log_level", FLAGS_log_level,
+                     {log_level::info, log_level::warning, log_level::error});
+    out.format = check.choice("log_format", FLAGS_log_format,
+                              {log_format::logfmt, log_format::json});
+}
+
+} // namespace
+
+const std::vector<std::string>& gateway_setting_names()
+{
+    static const std::vector<std::string> names = {"vm_name",
+                                                   "region",
+                                                   "failure_domain",
+                                                   "http_listen",
+                                                   "control_listen",
+                                                   "readiness_listen",
+                                                   "directory_listen",
+                                                   "metrics_listen",
+                                                   "store",
+                                                   "domain_regions",
+                                                   "max_connections",
+                                                   "stop_grace",
+                                                   "directory_lifetime",
+                                                   "retry_ratio",
+                                                   "retry_slack",
+                                                   "cold_slack",
+                                                   "log_level",
+                                                   "log_format"};
+    return names;
+}
+
+result<std::optional<gateway_settings>>
+load_gateway_settings(int argc, const char* const* argv)
+{
+    const auto line = read_flags(argc, argv, gateway_setting_names());
+    if (!line)
+    {
+        return line.as_failure();
+    }
+    if (line.value().help)
+    {
+        return std::optional<gateway_settings>();
+    }
+    if (!line.value().words.empty())
+    {
+        return fail(errc::invalid_argument,
+                    "argument '" + line.value().words.front() +
+                        "' is not a flag; --help lists all");
+    }
+    flag_checker check;
+    gateway_settings out;
+    check_self(check, out);
+    check_addresses(check, out);
+    check_limits(check, out);
+    check_log(check, out);
+    if (!check.fault().empty())
+    {
+        return fail(errc::invalid_argument, check.fault());
+    }
+    return std::optional(std::move(out));
+}
+
+std::string gateway_settings_help()
+{
+    return "siskinflow_gateway [flags]\n\nRuns the gateway daemon. A flag on "
+           "the command line wins over its environment variable.\n\nFlags:\n" +
+           flags_help(gateway_setting_names());
+}
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.cpp
@@ -0,0 +1,248 @@
+#include "gateway_state.hpp"
+
+#include "request_flow.hpp"
+#include <siskinflow/core/ids.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Part of the retry ratio and slack that is used: requests are counted in
+/// windows whose ends the VMs do not share.
+constexpr double retry_margin = 0.7;
+/// Part of the requests of the region by which another region's part may grow
+/// in a second, in percent. The limit is 15% in 2 s.
+constexpr double shift_percent_per_s = 5;
+/// Change of a share from which it is logged.
+constexpr double logged_share_change = 0.1;
+/// Waiting requests that are tried in one pass without finding room.
+constexpr int most_failed_placements = 6;
+
+} // namespace
+
+gateway_state::gateway_state(net::event_loop& loop_in,
+                             net::http_caller& caller_in,
+                             const dialect& speech_in, event_log& log_in,
+                             metrics& numbers_in, gateway_settings settings_in)
+    : loop(loop_in), caller(caller_in), speech(speech_in), log(log_in),
+      numbers(numbers_in), settings(std::move(settings_in)),
+      targets({settings.self.failure_domain, settings.self.region}),
+      chooser(targets, placement_costs{}), peers(settings.self)
+{
+    shift = std::make_unique<routing::shift_limiter>(
+        settings.self.region, std::vector<std::string>{settings.self.region},
+        shift_percent_per_s, now());
+}
+
+work_estimate& gateway_state::work(const route_policy& route,
+                                   const std::string& service)
+{
+    const std::string name = route.name + '\n' + service;
+    return work_.try_emplace(name, route.objective).first->second;
+}
+
+retry_budget& gateway_state::retries(const std::string& service)
+{
+    const auto found = retries_.find(service);
+    if (found != retries_.end())
+    {
+        return found->second;
+    }
+    const double vms = static_cast<double>(peers.size());
+    return retries_
+        .try_emplace(service, settings.retry_ratio * retry_margin,
+                     settings.retry_slack * retry_margin / vms)
+        .first->second;
+}
+
+const std::string& gateway_state::next_service(const route_policy& route)
+{
+    if (route.services.size() == 1)
+    {
+        return route.services.front().service;
+    }
+    // Smooth weighted round robin: the parts are exact after few requests.
+    double total = 0;
+    for (const weighted_service& entry : route.services)
+    {
+        total += entry.weight;
+    }
+    auto& credits = credits_[route.name];
+    const std::string* chosen = nullptr;
+    double most = 0;
+    for (const weighted_service& entry : route.services)
+    {
+        double& credit = credits[entry.service];
+        credit += total > 0 ? entry.weight / total : 0;
+        if (chosen == nullptr || credit > most)
+        {
+            chosen = &entry.service;
+            most = credit;
+        }
+    }
+    credits[*chosen] -= 1;
+    return *chosen;
+}
+
+waiting_id gateway_state::wait(const std::string& service, waiting_rank rank,
+                               const std::shared_ptr<request_flow>& flow)
+{
+    const waiting_id id = ++last_waiting_;
+    lines_[service].add(id, rank, now());
+    waiting_[id] = flow;
+    return id;
+}
+
+void gateway_state::stop_waiting(const std::string& service, waiting_id id)
+{
+    lines_[service].remove(id);
+    waiting_.erase(id);
+}
+
+void gateway_state::place_waiting(const std::string& service)
+{
+    const auto found = lines_.find(service);
+    if (found == lines_.end() || found->second.size() == 0)
+    {
+        return;
+    }
+    int failed = 0;
+    for (const waiting_id id : found->second.order())
+    {
+        const auto entry = waiting_.find(id);
+        const auto flow =
+            entry == waiting_.end() ? nullptr : entry->second.lock();
+        if (flow == nullptr)
+        {
+            stop_waiting(service, id);
+            continue;
+        }
+        failed += flow->place_waiting() ? 0 : 1;
+        if (failed >= most_failed_placements)
+        {
+            return;
+        }
+    }
+}
+
+void gateway_state::place_all_waiting()
+{
+    std::vector<std::string> services;
+    for (const auto& [service, waiting] : lines_)
+    {
+        if (waiting.size() > 0)
+        {
+            services.push_back(service);
+        }
+    }
+    for (const std::string& service : services)
+    {
+        place_waiting(service);
+    }
+}
+
+bool gateway_state::adopt(gateway::policy next, store_revision revision)
+{
+    const policy_version previous =
+        policy == nullptr ? 0 : policy->document().version;
+    if (next.version <= previous)
+    {
+        if (next.version < previous)
+        {
+            log.write(event_id::policy_refused,
+                      {{"revision", revision},
+                       {"in_force", previous},
+                       {"reason", "version " + std::to_string(next.version) +
+                                      " is older"}});
+        }
+        return false;
+    }
+    policy = std::make_shared<const policy_index>(std::move(next));
+    policy_since = now();
+    log.write(event_id::policy_in_force,
+              {{"version", policy->document().version},
+               {"previous", previous},
+               {"routes", policy->document().routes.size()},
+               {"services", policy->document().services.size()},
+               {"organisations", policy->document().organisations.size()},
+               {"revision", revision}});
+    update_shares();
+    return true;
+}
+
+void gateway_state::update_shares()
+{
+    if (policy == nullptr)
+    {
+        return;
+    }
+    for (const organisation_policy& entry : policy->document().organisations)
+    {
+        if (entry.rate_per_s <= 0)
+        {
+            continue;
+        }
+        rate_share& share = shares[entry.name];
+        share.update(entry.rate_per_s, entry.burst, peers.size(), now());
+        double& logged = logged_parts_[entry.name];
+        if (std::abs(share.part() - logged) >= logged_share_change)
+        {
+            log.write(event_id::rate_share_changed,
+                      {{"organisation", entry.name},
+                       {"part", share.part()},
+                       {"previous", logged},
+                       {"vms", peers.size()}});
+            logged = share.part();
+        }
+    }
+    update_cold_rates();
+}
+
+/// A cold target bears its rate and some slack from all VMs together. A few
+/// VMs, the same on each VM's list, may send to it, each a part of the rate and
+/// one request at once.
+void gateway_state::update_cold_rates()
+{
+    const std::vector<std::string> vms = peers.names();
+    targets.for_each(
+        [&](target& entry)
+        {
+            const service_policy* service =
+                policy->find_service(entry.record().service);
+            const double rate =
+                service == nullptr ? 0 : service->warm_up_rate_per_s;
+            if (rate <= 0)
+            {
+                return;
+            }
+            const auto most = static_cast<std::size_t>(
+                std::max(1.0, settings.cold_slack + rate / 2 - 1));
+            const std::size_t senders = std::min(most, vms.size());
+            const auto weight = [&](const std::string& vm)
+            { return stable_hash(vm, stable_hash(entry.record().id)); };
+            const std::uint64_t own = weight(settings.self.name);
+            const auto before = static_cast<std::size_t>(std::count_if(
+                vms.begin(), vms.end(),
+                [&](const std::string& vm) { return weight(vm) < own; }));
+            entry.limit_cold_rate(
+                before < senders ? rate / static_cast<double>(senders) : 0,
+                now());
+        });
+}
+
+void gateway_state::update_regions()
+{
+    std::set<std::string> regions{settings.self.region};
+    targets.for_each([&](target& entry)
+                     { regions.insert(entry.record().region); });
+    shift->configure({regions.begin(), regions.end()}, shift_percent_per_s,
+                     now());
+}
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/request_flow.hpp
@@ -0,0 +1,128 @@
+/// @file
+/// @brief The way of one request from its arrival to its answer.
+#pragma once
+
+#include "gateway_state.hpp"
+#include <siskinflow/admission/refusal.hpp>
+#include <siskinflow/net/http_server.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Why a request that may have run has no answer of a target.
+enum class failure_reason : std::uint8_t
+{
+    connection_lost, ///< The connection to the target broke.
+    bad_answer,      ///< The answer was cut, unsigned or of another request.
+    target_failed,   ///< The target failed in a way that can't be passed on.
+    timed_out,       ///< No answer within the time of the route or the caller.
+    cut_by_stop,     ///< The process ended first.
+};
+
+std::string_view name(failure_reason value) noexcept;
+
+/// @brief Admits a request, places it, and repeats attempts where that is
+/// safe. It holds itself until the answer is given.
+class request_flow final : public net::call_observer,
+                           public std::enable_shared_from_this<request_flow>
+{
+public:
+    request_flow(gateway_state& state, net::exchange_ptr exchange);
+
+    /// @brief Takes the request on or refuses it.
+    void start();
+
+    /// @brief Tries to place a waiting request.
+    /// @return whether it does not wait any more
+    bool place_waiting();
+
+    void on_head(int status, const net::http_headers& headers,
+                 std::optional<std::size_t> content_length) override;
+    void on_body(std::string_view part) override;
+    void on_end(net::call_outcome outcome) override;
+
+private:
+    // Admission
+    std::optional<refusal_reason> admit();
+    std::optional<refusal_reason> check_limits() const;
+    std::optional<refusal_reason> check_organisation();
+    bool within_rate();
+
+    // Placement
+    void place();
+    void wait_or_refuse(choice_failure failure);
+    bool may_wait(duration expected) const;
+    void give_up_waiting();
+    void leave_line();
+    choice_outcome choose();
+    time_left left() const;
+    bool region_allowed(std::string_view region) const;
+
+    // Attempts
+    void send(const target_choice& choice);
+    net::client_request request_to(const target_choice& choice) const;
+    duration attempt_timeout(const target_choice& choice) const;
+    attempt_result judge(net::call_outcome outcome) const;
+    attempt_result judge_answer() const;
+    void learn(attempt_result result);
+    void repeat_or_end(attempt_result result);
+    bool may_repeat(attempt_result result) const;
+    void release_target(attempt_result result);
+
+    // Ends
+    void on_time_out();
+    void on_caller_gone();
+    void deliver();
+    void refuse(refusal_reason reason, std::optional<duration> retry_after);
+    void fail_with(failure_reason reason);
+    void answer(int status, std::string_view reason,
+                std::optional<duration> retry_after);
+    void finish();
+    void log_served(int status);
+    void log_not_served(int status, std::string_view reason,
+                        std::optional<duration> retry_after);
+    std::string_view organisation_name() const;
+    duration spent() const;
+
+    gateway_state& state_;
+    net::exchange_ptr exchange_;
+    std::shared_ptr<const policy_index> policy_;
+    caller_terms terms_;
+    const route_policy* route_ = nullptr;
+    const organisation_policy* organisation_ = nullptr;
+    std::string service_;
+    std::optional<std::uint64_t> object_;
+    time_point arrived_;
+    time_point deadline_;
+    timer_id deadline_timer_ = 0;
+
+    waiting_id waiting_ = 0; ///< 0: does not wait.
+    timer_id waiting_timer_ = 0;
+    time_point waiting_since_;
+    duration waited_{0};
+    bool offered_ = false; ///< Counted by the shift limiter, not yet placed.
+
+    std::shared_ptr<net::http_call> call_;
+    target_ptr target_;
+    placement placement_;
+    double load_at_send_ = 0;
+    time_point sent_;
+    std::vector<std::string> tried_;
+    std::string steps_; ///< Attempts so far, for the log.
+    unsigned runs_ = 0; ///< Attempts that may have run.
+    bool may_have_run_ = false;
+
+    int status_ = 0;
+    net::http_headers headers_;
+    std::string body_;
+    bool too_large_ = false;
+    answer_terms answer_;
+    bool ended_ = false;
+};
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/state_feed.cpp
@@ -0,0 +1,243 @@
+#include "state_feed.hpp"
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Time after an outage of the store within which living targets register
+/// again; an entry that is missing then is gone.
+constexpr duration registration_settling = std::chrono::milliseconds(2300);
+
+} // namespace
+
+// Logged listener
+
+logged_listener::logged_listener(gateway_state& state, std::string what)
+    : state_(state), what_(std::move(what))
+{
+}
+
+void logged_listener::on_unavailable(const error& reason)
+{
+    state_.log.write(event_id::store_unavailable,
+                     {{"operation", what_}, {"reason", reason.message}});
+}
+
+void logged_listener::on_available(duration down)
+{
+    state_.log.write(
+        event_id::store_available,
+        {{"down_ms", std::chrono::duration_cast<std::chrono::milliseconds>(down)
+                         .count()}});
+}
+
+// Operators
+
+operator_feed::operator_feed(gateway_state& state, const record_format& records)
+    : logged_listener(state, "operators"), records_(records)
+{
+}
+
+void operator_feed::on_change(const store_change& change)
+{
+    auto record = records_.read_operator(change);
+    if (!record)
+    {
+        const policy_version in_force =
+            state_.policy == nullptr ? 0 : state_.policy->document().version;
+        state_.log.write(event_id::policy_refused,
+                         {{"revision", change.revision},
+                          {"in_force", in_force},
+                          {"reason", record.error().message}});
+        return;
+    }
+    if (auto* next = std::get_if<policy>(&record.value()))
+    {
+        on_policy(std::move(*next), change.revision);
+    }
+    if (const auto* moved = std::get_if<evacuation>(&record.value()))
+    {
+        on_evacuation(*moved, change.revision);
+    }
+}
+
+void operator_feed::on_policy(policy next, store_revision revision)
+{
+    if (state_.adopt(std::move(next), revision))
+    {
+        state_.place_all_waiting();
+    }
+}
+
+void operator_feed::on_evacuation(const evacuation& change,
+                                  store_revision revision)
+{
+    if (change.active)
+    {
+        evacuated_.insert(change.failure_domain);
+    }
+    else
+    {
+        evacuated_.erase(change.failure_domain);
+    }
+    state_.targets.evacuate(evacuated_);
+    std::string names;
+    for (const std::string& domain : evacuated_)
+    {
+        names += (names.empty() ? "" : ",") + domain;
+    }
+    state_.log.write(event_id::evacuation_changed,
+                     {{"failure_domains", names}, {"revision", revision}});
+    state_.place_all_waiting();
+}
+
+// Targets
+
+target_feed::target_feed(gateway_state& state, const record_format& records)
+    : logged_listener(state, "targets"), records_(records)
+{
+}
+
+void target_feed::on_available(duration down)
+{
+    settled_at_ = state_.now() + registration_settling;
+    logged_listener::on_available(down);
+}
+
+void target_feed::on_change(const store_change& change)
+{
+    if (change.removed)
+    {
+        on_removed(records_.target_id(change.key), change.revision);
+        return;
+    }
+    on_registered(change);
+}
+
+void target_feed::on_registered(const store_change& change)
+{
+    auto record = records_.read_target(change);
+    if (!record)
+    {
+        state_.log.write(event_id::target_registration_refused,
+                         {{"item", change.key},
+                          {"revision", change.revision},
+                          {"reason", record.error().message}});
+        return;
+    }
+    target_record& entry = record.value();
+    const auto region = state_.settings.regions.find(entry.failure_domain);
+    if (region != state_.settings.regions.end())
+    {
+        entry.region = region->second;
+    }
+    const auto put_off = removals_.find(entry.id);
+    if (put_off != removals_.end())
+    {
+        state_.loop.cancel(put_off->second);
+        removals_.erase(put_off);
+    }
+    const target_ptr known = state_.targets.find(entry.id);
+    const bool was_draining = known != nullptr && known->record().draining;
+    const bool added = state_.targets.put(entry, state_.now());
+    if (added || was_draining != entry.draining)
+    {
+        state_.log.write(
+            event_id::target_registration_changed,
+            {{"target", entry.id},
+             {"service", entry.service},
+             {"change", entry.draining ? "draining"
+                        : !added       ? "ready"
+                        : known        ? "restarted"
+                                       : "registered"},
+             {"failure_domain", entry.failure_domain},
+             {"revision", change.revision},
+             {"warm_up_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  entry.warm_up_left)
+                  .count()}});
+    }
+    if (added)
+    {
+        state_.update_regions();
+        state_.update_shares();
+        state_.place_waiting(entry.service);
+    }
+}
+
+void target_feed::on_removed(const std::string& id, store_revision revision)
+{
+    const time_point now = state_.now();
+    if (now >= settled_at_)
+    {
+        remove(id, revision);
+        return;
+    }
+    if (removals_.count(id) != 0)
+    {
+        return;
+    }
+    removals_[id] = state_.loop.after(settled_at_ - now,
+                                      [this, id, revision]
+                                      {
+                                          removals_.erase(id);
+                                          remove(id, revision);
+                                      });
+}
+
+void target_feed::remove(const std::string& id, store_revision revision)
+{
+    const target_ptr known = state_.targets.find(id);
+    if (known == nullptr)
+    {
+        return;
+    }
+    state_.log.write(event_id::target_registration_changed,
+                     {{"target", id},
+                      {"service", known->record().service},
+                      {"change", "gone"},
+                      {"failure_domain", known->record().failure_domain},
+                      {"revision", revision}});
+    state_.targets.remove(id);
+}
+
+// VMs
+
+vm_feed::vm_feed(gateway_state& state) : logged_listener(state, "vms") {}
+
+void vm_feed::on_change(const store_change& change)
+{
+    const std::string name = change.key.substr(
+        std::min(change.key.size(), std::string(vm_prefix).size()));
+    if (name == state_.settings.self.name)
+    {
+        return;
+    }
+    if (change.removed)
+    {
+        state_.peers.on_unlisted(name);
+        state_.log.write(event_id::peer_changed,
+                         {{"peer", name}, {"change", "unlisted"}});
+        return;
+    }
+    const auto record = parse_vm_record(change.value);
+    if (!record || record.value().name != name)
+    {
+        state_.log.write(event_id::target_registration_refused,
+                         {{"item", change.key},
+                          {"revision", change.revision},
+                          {"reason", record ? std::string("names another VM")
+                                            : record.error().message}});
+        return;
+    }
+    state_.peers.on_listed(record.value(), state_.now());
+    state_.log.write(event_id::peer_changed,
+                     {{"peer", name},
+                      {"change", "listed"},
+                      {"failure_domain", record.value().failure_domain}});
+    state_.update_shares();
+}
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/state_feed.hpp
@@ -0,0 +1,79 @@
+/// @file
+/// @brief Brings what the store holds into the state of the gateway; internal.
+#pragma once
+
+#include "gateway_state.hpp"
+#include <siskinflow/gateway/record_format.hpp>
+#include <siskinflow/store/store_mirror.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Prefix of the entries of VMs in the store.
+inline constexpr const char* vm_prefix = "siskinflow/vms/";
+
+/// @brief Logs lost and regained calls of one mirror.
+class logged_listener : public mirror_listener
+{
+public:
+    logged_listener(gateway_state& state, std::string what);
+
+    void on_unavailable(const error& reason) override;
+    void on_available(duration down) override;
+    void on_listed() override {}
+
+protected:
+    gateway_state& state_;
+
+private:
+    std::string what_;
+};
+
+/// @brief Takes over policies and evacuations.
+class operator_feed final : public logged_listener
+{
+public:
+    operator_feed(gateway_state& state, const record_format& records);
+    void on_change(const store_change& change) override;
+
+private:
+    void on_policy(policy next, store_revision revision);
+    void on_evacuation(const evacuation& change, store_revision revision);
+
+    const record_format& records_;
+    std::set<std::string> evacuated_;
+};
+
+/// @brief Takes over registrations of targets.
+class target_feed final : public logged_listener
+{
+public:
+    target_feed(gateway_state& state, const record_format& records);
+
+    void on_change(const store_change& change) override;
+    void on_available(duration down) override;
+
+private:
+    void on_registered(const store_change& change);
+    void on_removed(const std::string& id, store_revision revision);
+    void remove(const std::string& id, store_revision revision);
+
+    const record_format& records_;
+    /// Until then, entries that lapsed during an outage may come back.
+    time_point settled_at_{};
+    std::map<std::string, timer_id> removals_; ///< Put off, by target.
+};
+
+/// @brief Takes over entries of VMs.
+class vm_feed final : public logged_listener
+{
+public:
+    explicit vm_feed(gateway_state& state);
+    void on_change(const store_change& change) override;
+};
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/waiting_line.cpp
@@ -0,0 +1,62 @@
+#include <siskinflow/gateway/waiting_line.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Time constant of the rate of placements in seconds.
+constexpr double rate_window_s = 1;
+/// Rate assumed at least, so that an idle line expects a finite wait.
+constexpr double least_rate_per_s = 2;
+
+} // namespace
+
+double waiting_line::placed_per_s(time_point now) const
+{
+    return placed_ * std::exp(-to_seconds(now - counted_) / rate_window_s);
+}
+
+void waiting_line::on_placed(time_point now)
+{
+    placed_ = placed_per_s(now) + 1 / rate_window_s;
+    counted_ = now;
+}
+
+duration waiting_line::expected_wait(waiting_rank rank, time_point now) const
+{
+    const auto ahead = static_cast<double>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [&](const entry& other) { return other.rank <= rank; }));
+    const double rate = std::max(placed_per_s(now), least_rate_per_s);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>((ahead + 1) / rate));
+}
+
+void waiting_line::add(waiting_id id, waiting_rank rank, time_point arrived)
+{
+    entries_.insert({rank, arrived, id});
+}
+
+void waiting_line::remove(waiting_id id)
+{
+    std::erase_if(entries_,
+                  [id](const entry& other) { return other.id == id; });
+}
+
+std::vector<waiting_id> waiting_line::order() const
+{
+    std::vector<waiting_id> out;
+    out.reserve(entries_.size());
+    for (const entry& waiting : entries_)
+    {
+        out.push_back(waiting.id);
+    }
+    return out;
+}
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/store/lease_keeper.cpp
@@ -0,0 +1,157 @@
+#include <siskinflow/store/lease_keeper.hpp>
+
+#include <algorithm>
+
+namespace siskinflow
+{
+
+namespace
+{
+
+/// Renewals within one lifetime of the lease: two may be lost.
+constexpr int renewals_per_ttl = 3;
+constexpr duration retry_delay = std::chrono::milliseconds(300);
+constexpr duration call_timeout = std::chrono::seconds(1);
+
+} // namespace
+
+struct lease_keeper::impl : std::enable_shared_from_this<impl>
+{
+    impl(lease_store& source, timer_queue& timers, const clock& time,
+         std::string key, std::string value, duration ttl)
+        : source(source), timers(timers), time(time), key(std::move(key)),
+          value(std::move(value)), ttl(ttl)
+    {
+    }
+
+    lease_store& source;
+    timer_queue& timers;
+    const clock& time;
+    std::string key;
+    std::string value;
+    duration ttl;
+    std::uint64_t lease = 0; ///< 0: none is held.
+    bool stopped = false;
+
+    void grant()
+    {
+        source.grant_lease(
+            ttl, call_timeout,
+            [self = shared_from_this()](result<store_lease> granted)
+            { self->on_granted(granted); });
+    }
+
+    void on_granted(const result<store_lease>& granted)
+    {
+        if (!granted)
+        {
+            after(retry_delay, &impl::grant);
+            return;
+        }
+        lease = granted.value().id;
+        if (stopped)
+        {
+            end();
+            return;
+        }
+        write();
+    }
+
+    void write()
+    {
+        source.put(key, value, lease, call_timeout,
+                   [self = shared_from_this()](const result<void>& written)
+                   { self->on_written(written); });
+    }
+
+    void on_written(const result<void>& written)
+    {
+        if (!written && written.error().code == errc::not_found)
+        {
+            grant();
+            return;
+        }
+        if (!written)
+        {
+            // The write may have taken effect; writing it again is harmless.
+            after(retry_delay, &impl::write);
+            return;
+        }
+        after(ttl / renewals_per_ttl, &impl::renew);
+    }
+
+    void renew()
+    {
+        source.renew_lease(
+            lease, call_timeout,
+            [self = shared_from_this()](const result<void>& renewed)
+            { self->on_renewed(renewed); });
+    }
+
+    void on_renewed(const result<void>& renewed)
+    {
+        if (!renewed && renewed.error().code == errc::not_found)
+        {
+            grant();
+            return;
+        }
+        after(renewed ? ttl / renewals_per_ttl : retry_delay, &impl::renew);
+    }
+
+    void after(duration delay, void (impl::*next)())
+    {
+        if (stopped)
+        {
+            return;
+        }
+        timers.schedule(time.now() + delay,
+                        [weak = weak_from_this(), next]
+                        {
+                            const auto self = weak.lock();
+                            if (self != nullptr && !self->stopped)
+                            {
+                                (self.get()->*next)();
+                            }
+                        });
+    }
+
+    void end()
+    {
+        if (lease != 0)
+        {
+            source.end_lease(lease, call_timeout,
+                             [](const result<void>&)
+                             {
+                                 // If the store can't be reached, the lease
+                                 // runs out.
+                             });
+            lease = 0;
+        }
+    }
+};
+
+lease_keeper::lease_keeper(lease_store& source, timer_queue& timers,
+                           const clock& time, std::string key,
+                           std::string value, duration ttl)
+    : impl_(std::make_shared<impl>(source, timers, time, std::move(key),
+                                   std::move(value), ttl))
+{
+}
+
+lease_keeper::~lease_keeper()
+{
+    impl_->stopped = true;
+}
+
+void lease_keeper::start()
+{
+    impl_->grant();
+}
+
+void lease_keeper::stop()
+{
+    impl_->stopped = true;
+    impl_->end();
+}
+
+} // namespace siskinflow
--- /dev/null
+++ b/src/store/store_mirror.cpp
@@ -0,0 +1,204 @@
+#include <siskinflow/store/store_mirror.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace siskinflow
+{
+
+namespace
+{
+
+constexpr duration list_timeout = std::chrono::seconds(2);
+/// Longest wait of one watch; the store allows 30 s. A connection that went
+/// silent is found by the client's keep-alive probes before.
+constexpr duration watch_wait = std::chrono::seconds(25);
+constexpr duration first_retry = std::chrono::milliseconds(100);
+constexpr duration longest_retry = std::chrono::milliseconds(800);
+
+} // namespace
+
+struct store_mirror::impl : std::enable_shared_from_this<impl>
+{
+    impl(lease_store& source, timer_queue& timers, const clock& time,
+         std::string prefix, mirror_listener& listener)
+        : source(source), timers(timers), time(time), prefix(std::move(prefix)),
+          listener(&listener)
+    {
+    }
+
+    lease_store& source;
+    timer_queue& timers;
+    const clock& time;
+    std::string prefix;
+    mirror_listener* listener; ///< Null once the mirror is destroyed.
+    std::map<std::string, store_revision> known;
+    store_revision revision = 0;
+    bool has_listed = false;
+    bool failing = false;
+    time_point failing_since{};
+    time_point available_since{};
+    duration retry = first_retry;
+
+    void list()
+    {
+        source.list(prefix, list_timeout,
+                    [self = shared_from_this()](result<store_page> page)
+                    { self->on_list(std::move(page)); });
+    }
+
+    void await()
+    {
+        source.await_changes(
+            prefix, revision, watch_wait,
+            [self = shared_from_this()](result<store_page> page)
+            { self->on_changes(std::move(page)); });
+    }
+
+    void on_list(result<store_page> page)
+    {
+        if (listener == nullptr)
+        {
+            return;
+        }
+        if (!page)
+        {
+            retry_later(page.error(), &impl::list);
+            return;
+        }
+        succeeded();
+        remove_missing(page.value());
+        apply(page.value());
+        has_listed = true;
+        listener->on_listed();
+        await();
+    }
+
+    void on_changes(result<store_page> page)
+    {
+        if (listener == nullptr)
+        {
+            return;
+        }
+        if (!page && page.error().code == errc::stale)
+        {
+            list();
+            return;
+        }
+        if (!page)
+        {
+            retry_later(page.error(), &impl::await);
+            return;
+        }
+        succeeded();
+        apply(page.value());
+        await();
+    }
+
+    /// Reports the keys that were removed while no watch could tell.
+    void remove_missing(const store_page& page)
+    {
+        std::set<std::string> present;
+        for (const store_change& entry : page.entries)
+        {
+            present.insert(entry.key);
+        }
+        std::vector<std::string> gone;
+        for (const auto& [key, seen] : known)
+        {
+            if (present.count(key) == 0)
+            {
+                gone.push_back(key);
+            }
+        }
+        for (const std::string& key : gone)
+        {
+            known.erase(key);
+            listener->on_change({key, {}, page.revision, true});
+        }
+    }
+
+    void apply(const store_page& page)
+    {
+        for (const store_change& entry : page.entries)
+        {
+            store_revision& seen = known[entry.key];
+            if (entry.revision <= seen)
+            {
+                continue;
+            }
+            seen = entry.revision;
+            listener->on_change(entry);
+            if (entry.removed)
+            {
+                known.erase(entry.key);
+            }
+        }
+        revision = std::max(revision, page.revision);
+    }
+
+    void succeeded()
+    {
+        retry = first_retry;
+        if (failing)
+        {
+            failing = false;
+            available_since = time.now();
+            listener->on_available(available_since - failing_since);
+        }
+    }
+
+    void retry_later(const error& reason, void (impl::*next)())
+    {
+        if (!failing)
+        {
+            failing = true;
+            failing_since = time.now();
+            listener->on_unavailable(reason);
+        }
+        timers.schedule(time.now() + retry,
+                        [weak = weak_from_this(), next]
+                        {
+                            if (auto self = weak.lock())
+                            {
+                                (self.get()->*next)();
+                            }
+                        });
+        retry = std::min(retry * 2, longest_retry);
+    }
+};
+
+store_mirror::store_mirror(lease_store& source, timer_queue& timers,
+                           const clock& time, std::string prefix,
+                           mirror_listener& listener)
+    : impl_(std::make_shared<impl>(source, timers, time, std::move(prefix),
+                                   listener))
+{
+}
+
+store_mirror::~store_mirror()
+{
+    impl_->listener = nullptr;
+}
+
+void store_mirror::start()
+{
+    impl_->list();
+}
+
+bool store_mirror::listed() const
+{
+    return impl_->has_listed;
+}
+
+bool store_mirror::unavailable() const
+{
+    return impl_->failing;
+}
+
+time_point store_mirror::available_since() const
+{
+    return impl_->available_since;
+}
+
+} // namespace siskinflow
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -48,6 +48,31 @@
                                                   "sites"};
 constexpr std::string_view map_failed_fields[] = {"revision", "reason"};
 
+constexpr std::string_view served_fields[] = {
+    "request", "route",    "organisation", "service",     "target",
+    "state",   "attempts", "waited_ms",    "total_ms",    "status",
+    "policy",  "load",     "expected_ms",  "objective_ms"};
+constexpr std::string_view not_served_fields[] = {
+    "request",        "route",    "organisation",  "service",  "reason",
+    "status",         "attempts", "waited_ms",     "total_ms", "steps",
+    "retry_after_ms", "policy",   "policy_age_ms", "waiting",  "targets",
+    "share",          "left_ms"};
+constexpr std::string_view registration_fields[] = {
+    "target", "service", "change", "failure_domain", "revision", "warm_up_ms"};
+constexpr std::string_view registration_refused_fields[] = {"item", "revision",
+                                                            "reason"};
+constexpr std::string_view policy_fields[] = {
+    "version", "previous", "routes", "services", "organisations", "revision"};
+constexpr std::string_view policy_refused_fields[] = {"revision", "in_force",
+                                                      "reason"};
+constexpr std::string_view evacuation_fields[] = {"failure_domains",
+                                                  "revision"};
+constexpr std::string_view readiness_fields[] = {"ready", "reason"};
+constexpr std::string_view peer_fields[] = {"peer", "change", "failure_domain"};
+constexpr std::string_view settings_reloaded_fields[] = {"outcome"};
+constexpr std::string_view share_fields[] = {"organisation", "part", "previous",
+                                             "vms"};
+
 constexpr event_info table[] = {
     {event_id::started, "started", log_level::info, started_fields},
     {event_id::setting_refused, "setting_refused", log_level::error,
@@ -98,6 +123,27 @@
      map_loaded_fields},
     {event_id::site_map_load_failed, "site_map_load_failed", log_level::warning,
      map_failed_fields},
+    {event_id::request_served, "request_served", log_level::info,
+     served_fields},
+    {event_id::request_not_served, "request_not_served", log_level::warning,
+     not_served_fields},
+    {event_id::target_registration_changed, "target_registration_changed",
+     log_level::info, registration_fields},
+    {event_id::target_registration_refused, "target_registration_refused",
+     log_level::warning, registration_refused_fields},
+    {event_id::policy_in_force, "policy_in_force", log_level::info,
+     policy_fields},
+    {event_id::policy_refused, "policy_refused", log_level::error,
+     policy_refused_fields},
+    {event_id::evacuation_changed, "evacuation_changed", log_level::info,
+     evacuation_fields},
+    {event_id::readiness_changed, "readiness_changed", log_level::info,
+     readiness_fields},
+    {event_id::peer_changed, "peer_changed", log_level::info, peer_fields},
+    {event_id::settings_reloaded, "settings_reloaded", log_level::info,
+     settings_reloaded_fields},
+    {event_id::rate_share_changed, "rate_share_changed", log_level::info,
+     share_fields},
 };
 
 } // namespace
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -6,9 +6,12 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <climits>
 #include <cstdio>
 #include <ctime>
 #include <map>
+#include <poll.h>
+#include <unistd.h>
 #include <vector>
 
 INITIALIZE_EASYLOGGINGPP
@@ -197,6 +200,23 @@
 
 } // namespace
 
+log_output non_blocking_output(int descriptor, std::uint64_t& dropped)
+{
+    return [descriptor, &dropped](std::string_view line)
+    {
+        pollfd state{descriptor, POLLOUT, 0};
+        // A pipe that polls as writable takes at least PIPE_BUF bytes at once.
+        const bool writable =
+            ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+        const std::string text =
+            std::string(line.substr(0, PIPE_BUF - 1)) + "\n";
+        if (!writable || ::write(descriptor, text.data(), text.size()) < 0)
+        {
+            ++dropped;
+        }
+    };
+}
+
 bool is_secret_name(std::string_view key)
 {
     static constexpr std::array<std::string_view, 8> parts = {
@@ -240,7 +260,8 @@
     /// Token bucket of one event.
     struct limit
     {
-        std::uint32_t tokens = burst;
+        std::uint32_t tokens = 0;
+        bool started = false;
         time_point refilled;
         std::uint64_t untold = 0; ///< Suppressed since the last line.
     };
@@ -257,24 +278,37 @@
 
     bool allow(limit& state)
     {
-        const time_point now = time.now();
-        const auto added = (now - state.refilled) / interval;
-        if (added > 0)
-        {
-            state.refilled += added * interval;
-            state.tokens = static_cast<std::uint32_t>(std::min<std::int64_t>(
-                burst, static_cast<std::int64_t>(state.tokens) + added));
-        }
+        refill(state);
         if (state.tokens == 0)
         {
             ++state.untold;
             ++suppressed;
             return false;
         }
-        --state.tokens;
         return true;
     }
 
+    void refill(limit& state) const
+    {
+        const time_point now = time.now();
+        if (!state.started)
+        {
+            state.started = true;
+            state.tokens = options.burst;
+            state.refilled = now;
+        }
+        const duration interval = std::chrono::seconds(1);
+        const auto added =
+            (now - state.refilled) * options.lines_per_s / interval;
+        if (added > 0)
+        {
+            state.refilled += interval * added / options.lines_per_s;
+            state.tokens = static_cast<std::uint32_t>(std::min<std::int64_t>(
+                options.burst,
+                static_cast<std::int64_t>(state.tokens) + added));
+        }
+    }
+
     /// Fields that begin each line.
     static std::vector<log_field> head(const event_info& info)
     {
@@ -317,6 +351,7 @@
     {
         return;
     }
+    --limit.tokens;
     std::vector<log_field> line = impl::head(*info);
     std::string undeclared;
     for (const log_field& field : fields)
@@ -344,6 +379,13 @@
     impl_->emit_fields(*info, line);
 }
 
+bool event_log::accepts(event_id id)
+{
+    const event_info* info = find_event(id);
+    return info != nullptr && info->level >= impl_->options.least &&
+           impl_->allow(impl_->limits[id]);
+}
+
 void event_log::flush()
 {
     const event_info* info = find_event(event_id::lines_suppressed);
--- a/tests/unit/telemetry_test.cpp
+++ b/tests/unit/telemetry_test.cpp
@@ -132,10 +132,10 @@
     {
         all.log.write(event_id::message_dropped, {{"reason", "malformed"}});
     }
-    EXPECT(all.lines.size() == event_log::burst);
+    EXPECT(all.lines.size() == log_options().burst);
     all.log.write(event_id::joined);
-    EXPECT(all.lines.size() == event_log::burst + 1);
-    all.time.advance(event_log::interval);
+    EXPECT(all.lines.size() == log_options().burst + 1);
+    all.time.advance(std::chrono::seconds(1));
     all.log.write(event_id::message_dropped, {{"reason", "malformed"}});
     EXPECT(all.last().ends_with("reason=malformed suppressed=990"));
     all.log.write(event_id::message_dropped);
