--- a/include/siskinflow/gateway/rate_share.hpp
+++ b/include/siskinflow/gateway/rate_share.hpp
@@ -56,10 +56,15 @@
         time_point at;
     };
 
-    double total_peer_demand(double rate, std::size_t vms, time_point now);
+    double total_peer_demand(time_point now);
+    void refresh(time_point now);
 
     bucket bucket_;
     bool started_ = false;
+    double rate_ = 0;
+    double burst_ = 0;
+    std::size_t vms_ = 1;
+    time_point refreshed_{};
     double part_ = 0;
     double demand_ = 0; ///< Moving average at `counted_`.
     time_point counted_{};
--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -46,6 +46,10 @@
     bool fresh_connection = false; ///< Open a new connection for this call.
     duration connect_timeout = std::chrono::seconds(1);
     duration timeout = std::chrono::seconds(10); ///< For the whole call.
+    /// Time after which a connection on which the peer's end has vanished is
+    /// found by probes, in whole seconds from 3 on; 0 sends no probes. For
+    /// calls that wait long without a byte.
+    duration silence_limit{0};
 };
 
 /// @brief Receives the answer of a call in parts.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,8 +1,11 @@
+#include "answer_head.hpp"
 #include "h2o_native.hpp"
 #include <siskinflow/net/http_client.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -74,34 +77,6 @@
 
 } // namespace
 
-std::string_view name(call_outcome outcome)
-{
-    switch (outcome)
-    {
-    case call_outcome::complete:
-        return "complete";
-    case call_outcome::connect_failed:
-        return "connect_failed";
-    case call_outcome::connect_timed_out:
-        return "connect_timed_out";
-    case call_outcome::broken:
-        return "broken";
-    case call_outcome::truncated:
-        return "truncated";
-    case call_outcome::timed_out:
-        return "timed_out";
-    case call_outcome::cancelled:
-        return "cancelled";
-    }
-    return "unknown";
-}
-
-bool never_sent(call_outcome outcome)
-{
-    return outcome == call_outcome::connect_failed ||
-           outcome == call_outcome::connect_timed_out;
-}
-
 // Client
 
 namespace
@@ -192,7 +167,14 @@
                                            h2o_header_t* headers, size_t count,
                                            int length);
     static int on_body(h2o_http1client_t* client, const char* error);
-
+    static void on_written(h2o_socket_t* socket, const char* error);
+    static void on_readable(h2o_socket_t* socket, const char* error);
+    static client_call* of(h2o_socket_t* socket);
+
+    void watch_socket();
+    void watch_reads();
+    bool is_head_usable();
+    void probe_silence();
     void deliver_head(int status, const h2o_header_t* headers,
                       std::size_t count);
     void deliver_body(h2o_http1client_t* client);
@@ -210,6 +192,10 @@
     timer_id connect_timer_ = 0;
     timer_id deadline_timer_ = 0;
     h2o_socket_cb paused_callback_ = nullptr;
+    h2o_socket_cb native_write_ = nullptr; ///< h2o's own, while watched.
+    h2o_socket_cb native_read_ = nullptr;
+    bool ends_with_connection_ = false; ///< The body has no other end.
+    bool reset_ = false; ///< Reading ended by an error, not by a close.
     bool sent_ = false;
     bool got_head_ = false;
     bool in_callback_ = false;
@@ -336,9 +322,105 @@
     *buffers = self->buffers_;
     *count = self->request_.body.empty() ? 1 : 2;
     *is_head = self->request_.method == "HEAD" ? 1 : 0;
+    self->probe_silence();
+    self->owner_->loop.post(
+        [weak = self->weak_from_this()]
+        {
+            if (auto call = weak.lock())
+            {
+                call->watch_socket();
+            }
+        });
     return on_head;
 }
 
+client_call* client_call::of(h2o_socket_t* socket)
+{
+    return static_cast<client_call*>(
+        static_cast<h2o_http1client_t*>(socket->data)->data);
+}
+
+/// h2o 2.2 ends the process on a head with a length or encoding that it can't
+/// read, and takes a reset for the end of a body without a length. Its
+/// callbacks are therefore preceded by this class's own.
+void client_call::watch_socket()
+{
+    if (client_ == nullptr || client_->sock == nullptr)
+    {
+        return;
+    }
+    h2o_socket_t* socket = client_->sock;
+    if (socket->_cb.write != nullptr && socket->_cb.write != on_written)
+    {
+        native_write_ = std::exchange(socket->_cb.write, on_written);
+    }
+    watch_reads();
+}
+
+void client_call::watch_reads()
+{
+    if (client_ == nullptr || client_->sock == nullptr)
+    {
+        return;
+    }
+    h2o_socket_t* socket = client_->sock;
+    if (socket->_cb.read != nullptr && socket->_cb.read != on_readable)
+    {
+        native_read_ = std::exchange(socket->_cb.read, on_readable);
+    }
+}
+
+void client_call::on_written(h2o_socket_t* socket, const char* error)
+{
+    const auto self = of(socket)->shared_from_this();
+    self->native_write_(socket, error);
+    self->watch_reads();
+}
+
+void client_call::on_readable(h2o_socket_t* socket, const char* error)
+{
+    const auto self = of(socket)->shared_from_this();
+    self->reset_ = error != nullptr && error != h2o_socket_error_closed;
+    if (!self->got_head_ && error == nullptr && !self->is_head_usable())
+    {
+        self->release();
+        self->end(call_outcome::broken);
+        return;
+    }
+    self->native_read_(socket, error);
+    self->watch_reads();
+}
+
+bool client_call::is_head_usable()
+{
+    const h2o_buffer_t* input = client_->sock->input;
+    return is_usable_answer_head({input->bytes, input->size});
+}
+
+void client_call::probe_silence()
+{
+    if (request_.silence_limit <= duration::zero())
+    {
+        return;
+    }
+    constexpr int probes = 2;
+    const int descriptor = h2o_socket_get_fd(client_->sock);
+    const auto step = static_cast<int>(std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::seconds>(
+               request_.silence_limit / (probes + 1))
+               .count()));
+    const int on = 1;
+    const int options[][2] = {{TCP_KEEPIDLE, step},
+                              {TCP_KEEPINTVL, step},
+                              {TCP_KEEPCNT, probes}};
+    (void)::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    for (const auto& [option, value] : options)
+    {
+        (void)::setsockopt(descriptor, IPPROTO_TCP, option, &value,
+                           sizeof(value));
+    }
+}
+
 h2o_http1client_body_cb
 client_call::on_head(h2o_http1client_t* client, const char* error,
                      int /*minor*/, int status, h2o_iovec_t /*message*/,
@@ -380,9 +462,9 @@
     if (error != nullptr)
     {
         self->client_ = nullptr;
-        self->end(error == h2o_http1client_error_is_eos
-                      ? call_outcome::complete
-                      : call_outcome::truncated);
+        const bool whole = error == h2o_http1client_error_is_eos &&
+                           !(self->ends_with_connection_ && self->reset_);
+        self->end(whole ? call_outcome::complete : call_outcome::truncated);
         return 0;
     }
     if (self->ended_)
@@ -404,6 +486,8 @@
                    std::string(view(headers[i].value)));
     }
     const auto length = parse_length(fields.value("content-length"));
+    ends_with_connection_ = !fields.contains("content-length") &&
+                            !fields.contains("transfer-encoding");
     fields.remove_hop_by_hop();
     fields.remove("content-length");
     if (observer_ != nullptr)
@@ -498,48 +582,6 @@
     std::shared_ptr<client_call> call_;
 };
 
-/// Gathers an answer.
-class gathering_observer final : public call_observer
-{
-public:
-    gathering_observer(std::size_t max_bytes,
-                       std::function<void(fetch_result)> done)
-        : max_bytes_(max_bytes), done_(std::move(done))
-    {
-    }
-
-    void on_head(int status, const http_headers& headers,
-                 std::optional<std::size_t> /*content_length*/) override
-    {
-        result_.response.status = status;
-        result_.response.headers = headers;
-    }
-
-    void on_body(std::string_view part) override
-    {
-        if (result_.response.body.size() + part.size() > max_bytes_)
-        {
-            too_large_ = true;
-            return;
-        }
-        result_.response.body += part;
-    }
-
-    void on_end(call_outcome outcome) override
-    {
-        result_.outcome = too_large_ && outcome == call_outcome::complete
-                              ? call_outcome::truncated
-                              : outcome;
-        done_(std::move(result_));
-    }
-
-private:
-    std::size_t max_bytes_;
-    std::function<void(fetch_result)> done_;
-    fetch_result result_;
-    bool too_large_ = false;
-};
-
 } // namespace
 
 std::shared_ptr<http_call>
@@ -559,13 +601,4 @@
     impl_->pools.erase(peer);
 }
 
-std::shared_ptr<http_call> fetch(http_caller& caller, client_request request,
-                                 std::size_t max_bytes,
-                                 std::function<void(fetch_result)> done)
-{
-    return caller.start(
-        std::move(request),
-        std::make_shared<gathering_observer>(max_bytes, std::move(done)));
-}
-
 } // namespace siskinflow::net
--- /dev/null
+++ b/tests/unit/net_client_faults_test.cpp
@@ -0,0 +1,166 @@
+#include "story.hpp"
+#include <siskinflow/net/http_client.hpp>
+
+#include <rapidcheck.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace siskinflow;
+using namespace siskinflow::net;
+using namespace std::chrono_literals;
+using story::section;
+
+namespace
+{
+
+enum class ending
+{
+    close,
+    reset,
+};
+
+/// Answers one connection with given bytes and ends it.
+class one_answer_server
+{
+public:
+    one_answer_server(std::string answer, ending how)
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+        ::listen(listener_, 1);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
+                      &length);
+        port_ = ntohs(address.sin_port);
+        worker_ = std::jthread([this, answer = std::move(answer), how]
+                               { serve(answer, how); });
+    }
+
+    ~one_answer_server()
+    {
+        worker_.join();
+        ::close(listener_);
+    }
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+private:
+    void serve(const std::string& answer, ending how) const
+    {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        char buffer[2048];
+        (void)::recv(connection, buffer, sizeof(buffer), 0);
+        (void)::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        // The client reads what was sent before it sees the end.
+        std::this_thread::sleep_for(30ms);
+        const linger at_once{1, 0};
+        if (how == ending::reset)
+        {
+            ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once,
+                         sizeof(at_once));
+        }
+        ::close(connection);
+    }
+
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::jthread worker_;
+};
+
+fetch_result answer_of(event_loop& loop, http_client& client,
+                       std::string answer, ending how)
+{
+    const one_answer_server server(std::move(answer), how);
+    client_request request;
+    request.peer = {"127.0.0.1", server.port()};
+    request.timeout = 2s;
+    std::optional<fetch_result> got;
+    const auto call = fetch(client, request, 1 << 20, [&](fetch_result value)
+                            { got = std::move(value); });
+    while (!got)
+    {
+        loop.run_once(5ms);
+    }
+    return std::move(*got);
+}
+
+} // namespace
+
+// Guards against an answer of a target that ends the process, and against a
+// cut body that is taken for a whole one.
+Test(net_client_faults, survive_malformed_answers)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const auto outcome = [&](const std::string& answer, ending how)
+    { return answer_of(loop, client, answer, how).outcome; };
+    section("a length that is no number",
+            [&]
+            {
+                EXPECT(outcome("HTTP/1.1 200 OK\r\ncontent-length: 1x\r\n\r\nab",
+                               ending::close) == call_outcome::broken);
+            });
+    section("an unknown encoding",
+            [&]
+            {
+                EXPECT(outcome(
+                           "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
+                           ending::close) == call_outcome::broken);
+            });
+    section("bytes that are no answer",
+            [&]
+            {
+                EXPECT(outcome("\x01\x02garbage\r\n\r\n", ending::close) ==
+                       call_outcome::broken);
+            });
+    section("a body without a length that ends with the connection",
+            [&]
+            {
+                const auto got =
+                    answer_of(loop, client, "HTTP/1.1 200 OK\r\n\r\nwhole",
+                              ending::close);
+                EXPECT(got.outcome == call_outcome::complete);
+                EXPECT(got.response.body == "whole");
+            });
+    section("the same, reset on the way",
+            [&]
+            {
+                EXPECT(outcome("HTTP/1.1 200 OK\r\n\r\nwho", ending::reset) ==
+                       call_outcome::truncated);
+            });
+}
+
+// Guards against a head, cut or changed in any place, that ends the process.
+Test(net_client_faults, survive_mutated_heads)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    cr_assert(rc::check(
+        "a mutated head ends the call",
+        [&]
+        {
+            std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+                                 "connection: keep-alive\r\n"
+                                 "transfer-encoding: chunked\r\n\r\n"
+                                 "2\r\nab\r\n0\r\n\r\n";
+            const auto at = *rc::gen::inRange<std::size_t>(0, answer.size());
+            const auto cut = *rc::gen::inRange<std::size_t>(0, 30);
+            answer.erase(at, cut);
+            answer.insert(at, *rc::gen::arbitrary<std::string>());
+            answer_of(loop, client, answer, ending::close);
+        }));
+}
