Give up no attempt at a target that lives; fall back to the usual load of others

An attempt is now given up only if its target has answered nothing since and another one has room, and never while leaving.

--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -62,9 +62,16 @@
         return in_flight_;
     }
 
-    /// @brief Load of all VMs: own requests and the last report about others,
-    /// which fades as it ages.
-    double load(time_point now) const;
+    /// @brief Load of all VMs: own requests and what is known of others'. The
+    /// last report about them gives way to the usual load as it ages.
+    /// @param usual load of other VMs at a target of the service, on average
+    double load(time_point now, double usual) const;
+
+    /// @brief When it last gave an answer of any kind.
+    time_point answered_at() const
+    {
+        return answered_at_;
+    }
 
     /// @brief Measured work time over that of its service.
     double slowness() const
@@ -101,7 +108,8 @@
     void on_ended(attempt_result result, time_point now);
 
     /// @brief Takes over a load report.
-    void on_load(const load_report& report, time_point now);
+    /// @return the load of other VMs that it tells of
+    double on_load(const load_report& report, time_point now);
 
     /// @brief Takes over how long the target says that it stays cold.
     void on_warm_up_left(duration left, time_point now);
@@ -122,6 +130,7 @@
     double others_ = 0; ///< Load of other VMs at `reported_`.
     time_point reported_{};
     double slowness_ = 1;
+    time_point answered_at_{};
     time_point cold_until_{};
     bucket cold_bucket_;
     double cold_rate_ = -1;
@@ -206,6 +215,13 @@
         return locations_[service];
     }
 
+    /// @brief Takes over a load report of a target, for its service's usual
+    /// load as well.
+    void on_load(target& which, const load_report& report, time_point now);
+
+    /// @brief Load of other VMs at a target of a service, on average.
+    double usual_load(const std::string& service) const;
+
     /// @brief Calls back for each registered target.
     void for_each(const std::function<void(target&)>& visit);
 
@@ -224,6 +240,7 @@
     std::unordered_map<std::string, target_ptr> by_id_;
     std::unordered_map<std::string, std::vector<target_ptr>> by_service_;
     std::unordered_map<std::string, object_locations> locations_;
+    std::unordered_map<std::string, double> usual_load_;
     std::set<std::string> evacuated_;
 };
 
--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -39,7 +39,9 @@
 };
 
 /// @brief Client of such a store. Each call ends with exactly one callback,
-/// never before the call has returned.
+/// never before the call has returned. A call fails with `errc::timeout` if the
+/// store can't be reached or does not answer, and with `errc::unavailable` if
+/// it answers that it refuses.
 class lease_store
 {
 public:
@@ -50,15 +52,13 @@
 
     /// @brief Reads all keys of a prefix. The entries need not be from one
     /// instant; changes after the page's revision bring them up to date.
-    /// @param done `errc::timeout` or `errc::unavailable` on failure
     virtual void list(std::string prefix, duration timeout,
                       callback<store_page> done) = 0;
 
     /// @brief Waits for changes of a prefix.
     /// @param after revision up to which everything is known
     /// @param wait longest time without a change; the page is empty then
-    /// @param done `errc::stale` if the store has dropped that history;
-    /// `errc::timeout` or `errc::unavailable` on failure
+    /// @param done `errc::stale` if the store has dropped that history
     virtual void await_changes(std::string prefix, store_revision after,
                                duration wait, callback<store_page> done) = 0;
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -298,17 +298,50 @@
 
 // Attempts
 
-duration request_flow::attempt_timeout(const target_choice& choice) const
+/// A target that died silently is found long before the caller's deadline,
+/// which leaves time for another one.
+void request_flow::watch_attempt()
 {
-    // A target that died silently is found long before the caller's deadline,
-    // which leaves time for another one.
     constexpr int expected_multiple = 3;
     constexpr duration least = std::chrono::milliseconds(700);
-    const duration all = left().deadline;
-    const bool last = !route_->idempotent || runs_ + 1 >= route_->max_attempts;
-    return last ? all
-                : std::min(all, std::max(least, choice.place.expected *
-                                                    expected_multiple));
+    if (!route_->idempotent || runs_ + 1 >= route_->max_attempts)
+    {
+        return;
+    }
+    const duration patience =
+        std::max(least, placement_.expected * expected_multiple);
+    attempt_timer_ = state_.loop.after(patience,
+                                       [weak = weak_from_this()]
+                                       {
+                                           if (auto self = weak.lock())
+                                           {
+                                               self->on_attempt_overdue();
+                                           }
+                                       });
+}
+
+/// A target that has answered any request since is slow, not dead, and its
+/// work on this one would be lost. A leaving VM gives up nothing that runs.
+void request_flow::on_attempt_overdue()
+{
+    if (ended_ || call_ == nullptr)
+    {
+        return;
+    }
+    const bool lives = target_->answered_at() > sent_;
+    if (lives || state_.leaving || !choose().choice ||
+        !may_repeat(attempt_result::no_answer))
+    {
+        watch_attempt();
+        return;
+    }
+    call_->cancel();
+    release_target(attempt_result::no_answer);
+    state_.numbers
+        .counter(metric_id::retries, {gateway::name(attempt_result::no_answer)})
+        .add();
+    place();
+    state_.place_waiting(service_);
 }
 
 net::client_request request_flow::request_to(const target_choice& choice) const
@@ -328,7 +361,7 @@
         state_.targets.where(*choice.chosen) == distance::other_region
             ? connect_to_other_region
             : connect_in_region;
-    out.timeout = attempt_timeout(choice);
+    out.timeout = left().deadline;
     return out;
 }
 
@@ -337,7 +370,7 @@
     const time_point now = state_.now();
     target_ = choice.chosen;
     placement_ = choice.place;
-    load_at_send_ = target_->load(now);
+    load_at_send_ = target_->load(now, state_.targets.usual_load(service_));
     sent_ = now;
     status_ = 0;
     headers_ = {};
@@ -357,6 +390,7 @@
                                                     now);
     }
     call_ = state_.caller.start(request_to(choice), shared_from_this());
+    watch_attempt();
 }
 
 void request_flow::on_head(int status, const net::http_headers& headers,
@@ -452,7 +486,7 @@
     const time_point now = state_.now();
     if (answer_.load)
     {
-        target_->on_load(*answer_.load, now);
+        state_.targets.on_load(*target_, *answer_.load, now);
     }
     if (answer_.warm_up_left)
     {
@@ -499,6 +533,7 @@
         may_have_run_ = true;
     }
     call_.reset();
+    state_.loop.cancel(attempt_timer_);
 }
 
 bool request_flow::may_repeat(attempt_result result) const
@@ -676,6 +711,7 @@
         offered_ = false;
     }
     state_.loop.cancel(deadline_timer_);
+    state_.loop.cancel(attempt_timer_);
     call_.reset();
     state_.in_progress.erase(shared_from_this());
 }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -66,7 +66,8 @@
     // Attempts
     void send(const target_choice& choice);
     net::client_request request_to(const target_choice& choice) const;
-    duration attempt_timeout(const target_choice& choice) const;
+    void watch_attempt();
+    void on_attempt_overdue();
     attempt_result judge(net::call_outcome outcome) const;
     attempt_result judge_answer() const;
     void learn(attempt_result result);
@@ -108,6 +109,7 @@
     bool offered_ = false; ///< Counted by the shift limiter, not yet placed.
 
     std::shared_ptr<net::http_call> call_;
+    timer_id attempt_timer_ = 0;
     target_ptr target_;
     placement placement_;
     double load_at_send_ = 0;
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -99,6 +99,7 @@
 {
     const object_locations& locations =
         targets_.locations(std::string(request.service));
+    const double usual = targets_.usual_load(std::string(request.service));
     std::vector<candidate> out;
     out.reserve(found.size());
     bool home_in_use = false;
@@ -114,7 +115,7 @@
         option.target = static_cast<std::uint32_t>(i);
         option.where = found[i].where;
         option.rank = request.object ? static_cast<unsigned>(i) : 0;
-        option.load = entry.load(now);
+        option.load = entry.load(now, usual);
         option.slots = entry.record().slots;
         option.slowness = entry.slowness();
         const bool recent =
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -12,7 +12,9 @@
 {
 
 /// A report about other VMs' load loses half of its weight in this time.
-constexpr double load_half_life_s = 0.4;
+constexpr double load_half_life_s = 0.6;
+/// Weight of one report in the usual load of a service.
+constexpr double usual_load_weight = 0.05;
 /// Failures in a row after which a target is ejected.
 constexpr unsigned failures_to_eject = 3;
 /// Failures to connect after which it is ejected: nothing can have run.
@@ -62,10 +64,11 @@
     }
 }
 
-double target::load(time_point now) const
+double target::load(time_point now, double usual) const
 {
     const double age = to_seconds(now - reported_);
-    return in_flight_ + others_ * std::exp2(-age / load_half_life_s);
+    const double trust = std::exp2(-age / load_half_life_s);
+    return in_flight_ + others_ * trust + usual * (1 - trust);
 }
 
 bool target::admits(time_point now) const
@@ -91,6 +94,10 @@
 {
     in_flight_ -= in_flight_ > 0 ? 1 : 0;
     trial_ = false;
+    const bool answer = result == attempt_result::answered ||
+                        result == attempt_result::failed ||
+                        result == attempt_result::rejected;
+    answered_at_ = answer ? now : answered_at_;
     switch (result)
     {
     case attempt_result::answered:
@@ -132,13 +139,14 @@
     ejected_until_ = now + ejection_;
 }
 
-void target::on_load(const load_report& report, time_point now)
+double target::on_load(const load_report& report, time_point now)
 {
     const double total = report.running + report.waiting;
     // The report was made while this VM's request was still counted.
     const double own = in_flight_ + 1.0;
     others_ = std::max(0.0, total - own);
     reported_ = now;
+    return others_;
 }
 
 void target::on_warm_up_left(duration left, time_point now)
@@ -295,6 +303,20 @@
                                                   : distance::other_region;
 }
 
+void target_directory::on_load(target& which, const load_report& report,
+                               time_point now)
+{
+    const double others = which.on_load(report, now);
+    double& usual = usual_load_[which.record().service];
+    usual += usual_load_weight * (others - usual);
+}
+
+double target_directory::usual_load(const std::string& service) const
+{
+    const auto found = usual_load_.find(service);
+    return found == usual_load_.end() ? 0 : found->second;
+}
+
 void target_directory::for_each(const std::function<void(target&)>& visit)
 {
     for (auto& [id, entry] : by_id_)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -174,6 +174,7 @@
     void watch_socket();
     void watch_reads();
     bool is_head_usable();
+    bool is_body_whole() const;
     void probe_silence();
     void deliver_head(int status, const h2o_header_t* headers,
                       std::size_t count);
@@ -195,7 +196,7 @@
     h2o_socket_cb native_write_ = nullptr; ///< h2o's own, while watched.
     h2o_socket_cb native_read_ = nullptr;
     bool ends_with_connection_ = false; ///< The body has no other end.
-    bool reset_ = false; ///< Reading ended by an error, not by a close.
+    const char* read_error_ = nullptr; ///< Of the last read; null: none.
     bool sent_ = false;
     bool got_head_ = false;
     bool in_callback_ = false;
@@ -341,8 +342,8 @@
 }
 
 /// h2o 2.2 ends the process on a head with a length or encoding that it can't
-/// read, and takes a reset for the end of a body without a length. Its
-/// callbacks are therefore preceded by this class's own.
+/// read, and does not tell how a body ended. Its callbacks are therefore
+/// preceded by this class's own.
 void client_call::watch_socket()
 {
     if (client_ == nullptr || client_->sock == nullptr)
@@ -380,7 +381,7 @@
 void client_call::on_readable(h2o_socket_t* socket, const char* error)
 {
     const auto self = of(socket)->shared_from_this();
-    self->reset_ = error != nullptr && error != h2o_socket_error_closed;
+    self->read_error_ = error;
     if (!self->got_head_ && error == nullptr && !self->is_head_usable())
     {
         self->release();
@@ -391,6 +392,15 @@
     self->watch_reads();
 }
 
+/// A body without a length is whole once the peer has closed the connection,
+/// any other one before that: h2o 2.2 takes a close for the end of a chunked
+/// body without its last chunk too.
+bool client_call::is_body_whole() const
+{
+    return ends_with_connection_ ? read_error_ == h2o_socket_error_closed
+                                 : read_error_ == nullptr;
+}
+
 bool client_call::is_head_usable()
 {
     const h2o_buffer_t* input = client_->sock->input;
@@ -462,8 +472,8 @@
     if (error != nullptr)
     {
         self->client_ = nullptr;
-        const bool whole = error == h2o_http1client_error_is_eos &&
-                           !(self->ends_with_connection_ && self->reset_);
+        const bool whole =
+            error == h2o_http1client_error_is_eos && self->is_body_whole();
         self->end(whole ? call_outcome::complete : call_outcome::truncated);
         return 0;
     }
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -13,8 +13,11 @@
 /// Longest wait of one watch; the store allows 30 s. A connection that went
 /// silent is found by the client's keep-alive probes before.
 constexpr duration watch_wait = std::chrono::seconds(25);
-constexpr duration first_retry = std::chrono::milliseconds(100);
-constexpr duration longest_retry = std::chrono::milliseconds(800);
+constexpr duration first_retry = std::chrono::milliseconds(50);
+/// A store that refuses is spared more than one that can't be reached: its
+/// calls cost, and a cut that has ended is to be noticed at once.
+constexpr duration longest_retry_refused = std::chrono::milliseconds(800);
+constexpr duration longest_retry_unreachable = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -156,6 +159,9 @@
             failing_since = time.now();
             listener->on_unavailable(reason);
         }
+        retry = std::min(retry * 2, reason.code == errc::timeout
+                                        ? longest_retry_unreachable
+                                        : longest_retry_refused);
         timers.schedule(time.now() + retry,
                         [weak = weak_from_this(), next]
                         {
@@ -164,7 +170,6 @@
                                 (self.get()->*next)();
                             }
                         });
-        retry = std::min(retry * 2, longest_retry);
     }
 };
 
