--- a/include/siskinflow/gateway/placement.hpp
+++ b/include/siskinflow/gateway/placement.hpp
@@ -43,6 +43,7 @@
     double load = 0;     ///< Requests that run or wait there, of all VMs.
     unsigned slots = 1;  ///< Requests that run at once.
     double slowness = 1; ///< Measured work time over that of its service.
+    bool untried = false; ///< This VM has not sent it anything yet.
 };
 
 /// @brief Work time of one request of a route at an idle target.
@@ -72,6 +73,9 @@
     duration rank_step = std::chrono::milliseconds(20);
     /// Cost of an answer that is expected after the objective.
     duration late = std::chrono::milliseconds(1500);
+    /// Advantage of an untried target in the VM's region: without its first
+    /// requests a new target holds no object, and would never be the best.
+    duration first_request = std::chrono::milliseconds(2500);
 };
 
 /// @brief The choice.
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -67,6 +67,12 @@
     /// @param usual load of other VMs at a target of the service, on average
     double load(time_point now, double usual) const;
 
+    /// @brief Whether this VM has not sent it anything yet.
+    bool untried() const
+    {
+        return !tried_;
+    }
+
     /// @brief When it last gave an answer of any kind.
     time_point answered_at() const
     {
@@ -127,6 +133,7 @@
 
     target_record record_;
     unsigned in_flight_ = 0;
+    bool tried_ = false;
     double others_ = 0; ///< Load of other VMs at `reported_`.
     time_point reported_{};
     double slowness_ = 1;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -62,6 +62,11 @@
     return duration::zero();
 }
 
+bool introduces(const candidate& option)
+{
+    return option.untried && option.where != distance::other_region;
+}
+
 bool has_room(const candidate& option, bool on_time)
 {
     const double slots = std::max(1U, option.slots);
@@ -97,7 +102,8 @@
         const duration cost =
             expected + crossing_cost(option.where, costs) +
             costs.rank_step * std::min(option.rank, most_ranks) +
-            (on_time ? duration::zero() : costs.late);
+            (on_time ? duration::zero() : costs.late) -
+            (introduces(option) ? costs.first_request : duration::zero());
         if (cost < best_cost)
         {
             best_cost = cost;
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -118,6 +118,7 @@
         option.load = entry.load(now, usual);
         option.slots = entry.record().slots;
         option.slowness = entry.slowness();
+        option.untried = entry.untried();
         const bool recent =
             !request.object ||
             locations.recent(*request.object, entry.record().id, now);
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -83,6 +83,7 @@
 void target::on_sent(time_point now)
 {
     ++in_flight_;
+    tried_ = true;
     trial_ = ejection_ > duration::zero();
     if (cold(now))
     {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -63,6 +63,15 @@
                     at_home(0, object_state::cold, 6)};
                 EXPECT(!place(options, lookup_work, {500ms, 3s}));
             });
+    section("a new target in the region gets a first request",
+            [&]
+            {
+                candidate added = at_home(1, object_state::cold, 0);
+                added.untried = true;
+                const std::vector<candidate> options = {
+                    at_home(0, object_state::recent, 0), added};
+                EXPECT(place(options, lookup_work, {500ms, 3s})->target == 1);
+            });
     section("nothing that can't answer before the deadline",
             [&]
             {
