Keep a copy of each organisation's bucket on every VM; gather changes of the store

Each VM now counts its own and its peers' requests in a copy of the one bucket and paces only when it is nearly spent.

--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -35,16 +35,17 @@
 /// @return the record, or `errc::parse_error` naming the field
 result<vm_record> parse_vm_record(std::string_view text);
 
-/// @brief Demand of one organisation at one VM.
-struct organisation_demand
+/// @brief Requests of one organisation at one VM.
+struct organisation_usage
 {
     std::uint32_t organisation = 0; ///< Hash of the name.
-    float per_s = 0;                ///< Requests per second.
+    std::uint32_t admitted = 0;     ///< Since the VM started.
+    float demand_per_s = 0;         ///< Requests that arrive.
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(organisation, per_s);
+        archive(organisation, admitted, demand_per_s);
     }
 };
 
@@ -56,16 +57,16 @@
 
     std::string vm;
     bool serving = false;                     ///< Takes new callers.
-    std::vector<organisation_demand> demands; ///< Those above zero.
+    std::vector<organisation_usage> usages; ///< Those with requests lately.
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(vm, serving, demands);
+        archive(vm, serving, usages);
     }
 };
 
-/// @brief Number of an organisation in `organisation_demand`.
+/// @brief Number of an organisation in `organisation_usage`.
 std::uint32_t organisation_number(std::string_view name);
 
 /// @brief Known VMs and whether they take callers.
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -44,9 +44,12 @@
     /// @param timers run the retries; must outlive the mirror
     /// @param time the timers' clock
     /// @param prefix keys to mirror
+    /// @param pause time from one change to the next watch, so that changes
+    /// that come close together arrive with one call
     /// @param listener told of changes; must outlive the mirror
     store_mirror(lease_store& source, timer_queue& timers, const clock& time,
-                 std::string prefix, mirror_listener& listener);
+                 std::string prefix, duration pause,
+                 mirror_listener& listener);
     ~store_mirror();
     store_mirror(const store_mirror&) = delete;
     store_mirror& operator=(const store_mirror&) = delete;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -18,13 +18,22 @@
 namespace
 {
 
-/// Time between two messages to each peer.
-constexpr duration peer_interval = std::chrono::milliseconds(500);
+/// Time between two messages to each peer; in a larger fleet, the time for
+/// each VM, which bounds the messages that one VM receives to 30 a second.
+constexpr duration least_peer_interval = std::chrono::milliseconds(500);
+constexpr duration peer_interval_per_vm = std::chrono::milliseconds(33);
+constexpr duration peer_tick = std::chrono::milliseconds(100);
+/// Time for which changes gather in the store before they are asked for. Each
+/// call costs; the bounds on configurations and draining targets are 2.5 s.
+constexpr duration operator_pause = std::chrono::milliseconds(150);
+constexpr duration target_pause = std::chrono::milliseconds(600);
+constexpr duration vm_pause = std::chrono::milliseconds(1500);
 /// Time between two tries to place what waits, for room that no answer of this
 /// VM's own requests announces.
 constexpr duration placing_interval = std::chrono::milliseconds(25);
-/// Lifetime of this VM's entry in the store.
-constexpr duration registration_ttl = std::chrono::seconds(4);
+/// Lifetime of this VM's entry in the store. A VM that died is found by its
+/// silence long before.
+constexpr duration registration_ttl = std::chrono::seconds(8);
 /// Callers may keep a lookup answer for three of its lifetimes.
 constexpr int lookup_lifetimes = 3;
 /// Time before the forced end at which no new request is taken.
@@ -57,11 +66,13 @@
           operators(state, platform_in.records),
           registrations(state, platform_in.records), vms(state),
           operator_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                          platform_in.records.operator_prefix(), operators),
+                          platform_in.records.operator_prefix(), operator_pause,
+                          operators),
           target_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                        platform_in.records.target_prefix(), registrations),
+                        platform_in.records.target_prefix(), target_pause,
+                        registrations),
           vm_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                    vm_prefix, vms),
+                    vm_prefix, vm_pause, vms),
           registration(platform_in.store, loop_in.timers(), loop_in.time(),
                        vm_prefix + state.settings.self.name,
                        to_json(state.settings.self), registration_ttl)
@@ -92,6 +103,9 @@
     std::function<void()> on_stopped;
     time_point started{};
     time_point stop_at{};
+    time_point next_message{};
+    /// Requests admitted when the peers were told last, by organisation.
+    std::unordered_map<std::string, std::uint32_t> told;
 
     bool ready() const
     {
@@ -106,7 +120,9 @@
     void on_lookup(const net::exchange_ptr& exchange);
     void on_metrics(const net::exchange_ptr& exchange);
     void on_peer_message(std::string_view payload);
+    void take_over(const peer_state& message, const incarnation_id& sender);
     void tell_peers();
+    void send_to_peers(peer_state message);
     void stop();
     void end_when_idle();
 };
@@ -178,7 +194,14 @@
     target_mirror.start();
     vm_mirror.start();
     registration.start();
-    timers.push_back(loop.every(peer_interval, [this] { tell_peers(); }));
+    timers.push_back(loop.every(peer_tick,
+                                [this]
+                                {
+                                    if (state.now() >= next_message)
+                                    {
+                                        tell_peers();
+                                    }
+                                }));
     timers.push_back(loop.every(placing_interval,
                                 [this]
                                 {
@@ -258,28 +281,33 @@
                    {"bytes", payload.size()}});
         return;
     }
-    const peer_state& told = message.value();
-    state.peers.on_heard(told.vm, told.serving, state.now());
-    if (state.policy == nullptr)
-    {
-        return;
-    }
-    for (const organisation_policy& entry :
-         state.policy->document().organisations)
+    take_over(message.value(), envelope.value().sender);
+}
+
+void gateway_node::impl::take_over(const peer_state& message,
+                                   const incarnation_id& sender)
+{
+    state.peers.on_heard(message.vm, message.serving, state.now());
+    for (const organisation_usage& usage : message.usages)
     {
-        const std::uint32_t number = organisation_number(entry.name);
-        const auto demand =
-            std::find_if(told.demands.begin(), told.demands.end(),
-                         [number](const organisation_demand& candidate)
-                         { return candidate.organisation == number; });
-        state.shares[entry.name].on_peer_demand(
-            told.vm, demand == told.demands.end() ? 0 : demand->per_s,
+        const auto organisation = state.numbered.find(usage.organisation);
+        if (organisation == state.numbered.end())
+        {
+            continue; // Of a policy that this VM does not know yet.
+        }
+        state.shares[organisation->second].on_report(
+            message.vm, sender.low, {usage.admitted, usage.demand_per_s},
             state.now());
     }
 }
 
 void gateway_node::impl::tell_peers()
 {
+    next_message =
+        state.now() +
+        std::max(least_peer_interval,
+                 peer_interval_per_vm *
+                     static_cast<std::int64_t>(state.peers.size()));
     state.peers.expire(state.now());
     state.update_shares();
     peer_state message;
@@ -288,18 +316,42 @@
     constexpr double least_demand_per_s = 0.05;
     for (const auto& [organisation, share] : state.shares)
     {
-        const double demand = share.demand(state.now());
-        if (demand > least_demand_per_s)
+        const rate_report report = share.report(state.now());
+        std::uint32_t& before = told[organisation];
+        if (report.admitted != before ||
+            report.demand_per_s > least_demand_per_s)
         {
-            message.demands.push_back({organisation_number(organisation),
-                                       static_cast<float>(demand)});
+            message.usages.push_back(
+                {organisation_number(organisation), report.admitted,
+                 static_cast<float>(report.demand_per_s)});
         }
+        before = report.admitted;
     }
-    const std::string encoded = control::encode(incarnation, message);
-    for (const net::endpoint& peer : state.peers.peers())
+    send_to_peers(message);
+}
+
+/// Sends a message in as many datagrams as it takes.
+void gateway_node::impl::send_to_peers(peer_state message)
+{
+    constexpr std::size_t usages_per_datagram =
+        (control::max_datagram_bytes - 200) / sizeof(organisation_usage);
+    std::vector<organisation_usage> usages = std::move(message.usages);
+    std::size_t sent = 0;
+    do
     {
-        peer_socket->send(peer, encoded);
-    }
+        const std::size_t count =
+            std::min(usages_per_datagram, usages.size() - sent);
+        const auto first =
+            usages.begin() + static_cast<std::ptrdiff_t>(sent);
+        message.usages.assign(first,
+                              first + static_cast<std::ptrdiff_t>(count));
+        const std::string encoded = control::encode(incarnation, message);
+        for (const net::endpoint& peer : state.peers.peers())
+        {
+            peer_socket->send(peer, encoded);
+        }
+        sent += count;
+    } while (sent < usages.size());
 }
 
 void gateway_node::impl::stop()
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -188,6 +188,7 @@
         {
             continue;
         }
+        numbered[organisation_number(entry.name)] = entry.name;
         rate_share& share = shares[entry.name];
         share.update(entry.rate_per_s, entry.burst, peers.size(), now());
         double& logged = logged_parts_[entry.name];
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -52,6 +52,8 @@
     peer_table peers;
     std::unique_ptr<routing::shift_limiter> shift;
     std::unordered_map<std::string, rate_share> shares; ///< By organisation.
+    /// Organisations with a rate, by their number in messages.
+    std::unordered_map<std::uint32_t, std::string> numbered;
     std::unordered_set<std::shared_ptr<request_flow>> in_progress;
     bool leaving = false;
 
--- a/src/gateway/rate_share.cpp
+++ b/src/gateway/rate_share.cpp
@@ -18,28 +18,38 @@
 /// Time after which a VM's own demand is weighed anew; peers learn of it with
 /// the next message, and the excess until then is within the tolerance.
 constexpr duration refresh_interval = std::chrono::milliseconds(40);
-/// Part of the burst that moves along with the share. The other VMs give up
-/// theirs with the next message; half of it would exceed the tolerance.
-constexpr double moving_burst_part = 0.25;
+/// Requests that a VM may save up while it is paced.
+constexpr double paced_burst = 1;
+/// Part of the burst below which requests are paced.
+constexpr double reserved_burst_part = 0.15;
+/// Age up to which a silent peer is taken to spend on as it did; a VM that is
+/// silent for longer is paced by its part at the most.
+constexpr duration longest_unreported = std::chrono::seconds(2);
 
 } // namespace
 
 bool rate_share::take(time_point now)
 {
-    const double decay =
-        std::exp(-to_seconds(now - counted_) / demand_window_s);
-    demand_ = demand_ * decay + 1 / demand_window_s;
+    demand_ = demand(now) + 1 / demand_window_s;
     counted_ = now;
     if (now - refreshed_ >= refresh_interval)
     {
         refresh(now);
     }
-    return bucket_.take(1, now);
+    const double spare = all_.level(now) - unreported(now);
+    const bool plenty = spare >= 1 + burst_ * reserved_burst_part;
+    const bool within = plenty || paced_.take(1, now);
+    if (within)
+    {
+        all_.settle(1, now);
+        ++admitted_;
+    }
+    return within;
 }
 
 duration rate_share::wait(time_point now) const
 {
-    return bucket_.wait(1, now);
+    return paced_.wait(1, now);
 }
 
 double rate_share::demand(time_point now) const
@@ -47,26 +57,39 @@
     return demand_ * std::exp(-to_seconds(now - counted_) / demand_window_s);
 }
 
-void rate_share::on_peer_demand(const std::string& vm, double per_s,
-                                time_point now)
+rate_report rate_share::report(time_point now) const
 {
-    peers_[vm] = {std::max(0.0, per_s), now};
+    return {admitted_, demand(now)};
 }
 
-double rate_share::total_peer_demand(time_point now)
+void rate_share::on_report(const std::string& vm, std::uint64_t incarnation,
+                           const rate_report& report, time_point now)
 {
-    std::erase_if(peers_, [now](const auto& peer)
-                  { return now - peer.second.at > demand_memory; });
-    double total = 0;
-    for (const auto& [vm, peer] : peers_)
+    const auto [found, added] = peers_.try_emplace(vm);
+    peer& known = found->second;
+    std::uint32_t spent = report.admitted - known.last.admitted;
+    if (added)
+    {
+        spent = 0; // Spent before this VM kept a copy of the bucket.
+    }
+    else if (known.incarnation != incarnation)
     {
-        total += peer.per_s;
+        spent = report.admitted;
     }
-    // A VM that has told nothing yet is taken to need an even part.
-    const std::size_t known = peers_.size() + 1;
-    const std::size_t unknown = vms_ > known ? vms_ - known : 0;
-    return total + rate_ * static_cast<double>(unknown) /
-                       static_cast<double>(std::max<std::size_t>(vms_, 1));
+    known = {incarnation, report, now};
+    all_.settle(spent, now);
+}
+
+/// Requests that the peers have admitted since their last reports.
+double rate_share::unreported(time_point now) const
+{
+    double out = 0;
+    for (const auto& [vm, entry] : peers_)
+    {
+        const duration age = std::min(now - entry.at, longest_unreported);
+        out += entry.last.demand_per_s * to_seconds(age);
+    }
+    return out;
 }
 
 void rate_share::update(double rate, double burst, std::size_t vms,
@@ -75,31 +98,35 @@
     rate_ = rate;
     burst_ = burst;
     vms_ = vms;
+    if (!started_)
+    {
+        started_ = true;
+        all_ = bucket(rate, burst, burst, now);
+        paced_ = bucket(rate / static_cast<double>(std::max<std::size_t>(
+                                   vms, 1)),
+                        paced_burst, paced_burst, now);
+    }
+    all_.resize(rate, burst, now);
     refresh(now);
 }
 
 void rate_share::refresh(time_point now)
 {
     refreshed_ = now;
-    const double peers = total_peer_demand(now);
+    std::erase_if(peers_, [now](const auto& entry)
+                  { return now - entry.second.at > demand_memory; });
+    double others = 0;
+    for (const auto& [vm, entry] : peers_)
+    {
+        others += entry.last.demand_per_s;
+    }
     const double count = static_cast<double>(
         std::max({vms_, peers_.size() + 1, std::size_t{1}}));
     const double idle = rate_ * idle_demand_part / count;
     const double own = demand(now) + idle;
-    const double all = own + peers + idle * (count - 1);
-    const double before = part_;
+    const double all = own + others + idle * (count - 1);
     part_ = all > 0 ? own / all : 1 / count;
-    if (!started_)
-    {
-        bucket_ = bucket(rate_ * part_, burst_ * part_, burst_ * part_, now);
-        started_ = true;
-        return;
-    }
-    bucket_.resize(rate_ * part_, burst_ * part_, now);
-    if (part_ > before)
-    {
-        bucket_.add(burst_ * (part_ - before) * moving_burst_part, now);
-    }
+    paced_.resize(rate_ * part_, paced_burst, now);
 }
 
 } // namespace siskinflow::gateway
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -24,9 +24,9 @@
 struct store_mirror::impl : std::enable_shared_from_this<impl>
 {
     impl(lease_store& source, timer_queue& timers, const clock& time,
-         std::string prefix, mirror_listener& listener)
+         std::string prefix, duration pause, mirror_listener& listener)
         : source(source), timers(timers), time(time), prefix(std::move(prefix)),
-          listener(&listener)
+          pause(pause), listener(&listener)
     {
     }
 
@@ -34,6 +34,7 @@
     timer_queue& timers;
     const clock& time;
     std::string prefix;
+    duration pause;
     mirror_listener* listener; ///< Null once the mirror is destroyed.
     std::map<std::string, store_revision> known;
     store_revision revision = 0;
@@ -95,7 +96,25 @@
         }
         succeeded();
         apply(page.value());
-        await();
+        if (page.value().entries.empty())
+        {
+            await();
+            return;
+        }
+        after(pause, &impl::await);
+    }
+
+    void after(duration delay, void (impl::*next)())
+    {
+        timers.schedule(time.now() + delay,
+                        [weak = weak_from_this(), next]
+                        {
+                            const auto self = weak.lock();
+                            if (self != nullptr && self->listener != nullptr)
+                            {
+                                (self.get()->*next)();
+                            }
+                        });
     }
 
     /// Reports the keys that were removed while no watch could tell.
@@ -162,22 +181,15 @@
         retry = std::min(retry * 2, reason.code == errc::timeout
                                         ? longest_retry_unreachable
                                         : longest_retry_refused);
-        timers.schedule(time.now() + retry,
-                        [weak = weak_from_this(), next]
-                        {
-                            if (auto self = weak.lock())
-                            {
-                                (self.get()->*next)();
-                            }
-                        });
+        after(retry, next);
     }
 };
 
 store_mirror::store_mirror(lease_store& source, timer_queue& timers,
                            const clock& time, std::string prefix,
-                           mirror_listener& listener)
+                           duration pause, mirror_listener& listener)
     : impl_(std::make_shared<impl>(source, timers, time, std::move(prefix),
-                                   listener))
+                                   pause, listener))
 {
 }
 
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -130,8 +130,8 @@
             {
                 if (from != to)
                 {
-                    shares[to].on_peer_demand(std::to_string(from),
-                                              shares[from].demand(now), now);
+                    shares[to].on_report(std::to_string(from), 1,
+                                         shares[from].report(now), now);
                 }
             }
         }
@@ -174,6 +174,28 @@
                 }
                 EXPECT(refused * 50 < sent);
             });
+    section("few requests of a small organisation pass on any of many VMs",
+            [&]
+            {
+                manual_clock time;
+                sharing_vms vms(30, 10, 10, time.now());
+                int refused = 0;
+                for (int ms = 0; ms < 20000; ++ms)
+                {
+                    if (ms % 1000 == 0)
+                    {
+                        vms.tell(time.now());
+                    }
+                    if (ms % 160 == 0)
+                    {
+                        const auto vm = static_cast<std::size_t>(ms / 160 * 7);
+                        refused +=
+                            vms.shares[vm % 30].take(time.now()) ? 0 : 1;
+                    }
+                    time.advance(step);
+                }
+                EXPECT(refused <= 2);
+            });
     section("several times the rate on all VMs stays within it",
             [&]
             {
