--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -4,7 +4,6 @@
 
 #include <siskinflow/gateway/placement.hpp>
 #include <siskinflow/gateway/targets.hpp>
-#include <siskinflow/routing/shift_limiter.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -25,6 +24,7 @@
     std::optional<std::uint64_t> object;
     std::function<bool(std::string_view region)> region_allowed;
     std::span<const std::string> excluded; ///< Ids of targets already tried.
+    bool leaves_region = false; ///< Other regions go first.
     work_time work;
     time_left left;
 };
@@ -64,10 +64,10 @@
 public:
     target_chooser(target_directory& targets, placement_costs costs);
 
-    /// @brief Chooses for one request.
-    /// @param shift limits the part that goes to each region
-    choice_outcome choose(const choice_request& request,
-                          const routing::shift_limiter* shift, time_point now);
+    /// @brief Chooses for one request. A request goes to the side that its
+    /// `leaves_region` names, and to the other one only if no target of that
+    /// side may get any request.
+    choice_outcome choose(const choice_request& request, time_point now);
 
 private:
     struct ranked
@@ -81,7 +81,6 @@
     void order(std::vector<ranked>& found, const choice_request& request);
     std::vector<candidate> candidates(const std::vector<ranked>& found,
                                       const choice_request& request,
-                                      const routing::shift_limiter* shift,
                                       time_point now);
 
     target_directory& targets_;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -31,6 +31,8 @@
 /// Time between two tries to place what waits, for room that no answer of this
 /// VM's own requests announces.
 constexpr duration placing_interval = std::chrono::milliseconds(25);
+/// Time between two looks at the load of the region.
+constexpr duration split_interval = std::chrono::milliseconds(200);
 /// Lifetime of this VM's entry in the store. A VM that died is found by its
 /// silence long before.
 constexpr duration registration_ttl = std::chrono::seconds(8);
@@ -202,6 +204,8 @@
                                         tell_peers();
                                     }
                                 }));
+    timers.push_back(
+        loop.every(split_interval, [this] { state.update_splits(); }));
     timers.push_back(loop.every(placing_interval,
                                 [this]
                                 {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -16,9 +16,6 @@
 /// Part of the retry ratio and slack that is used: requests are counted in
 /// windows whose ends the VMs do not share.
 constexpr double retry_margin = 0.7;
-/// Part of the requests of the region by which another region's part may grow
-/// in a second, in percent. The limit is 15% in 2 s.
-constexpr double shift_percent_per_s = 5;
 /// Change of a share from which it is logged.
 constexpr double logged_share_change = 0.1;
 /// Waiting requests that are tried in one pass without finding room.
@@ -35,9 +32,6 @@
       targets({settings.self.failure_domain, settings.self.region}),
       chooser(targets, placement_costs{}), peers(settings.self)
 {
-    shift = std::make_unique<routing::shift_limiter>(
-        settings.self.region, std::vector<std::string>{settings.self.region},
-        shift_percent_per_s, now());
 }
 
 work_estimate& gateway_state::work(const route_policy& route,
@@ -237,13 +231,52 @@
         });
 }
 
-void gateway_state::update_regions()
+region_load gateway_state::load_of(const std::string& service) const
 {
-    std::set<std::string> regions{settings.self.region};
-    targets.for_each([&](target& entry)
-                     { regions.insert(entry.record().region); });
-    shift->configure({regions.begin(), regions.end()}, shift_percent_per_s,
-                     now());
+    region_load out;
+    const double usual = targets.usual_load(service);
+    for (const target_ptr& entry : targets.of_service(service))
+    {
+        if (!targets.in_service(*entry) || entry->ejected(now()))
+        {
+            continue;
+        }
+        const bool away = targets.where(*entry) == distance::other_region;
+        (away ? out.away_load : out.home_load) += entry->load(now(), usual);
+        (away ? out.away_slots : out.home_slots) += entry->record().slots;
+    }
+    return out;
+}
+
+/// Callers are taken to be spread evenly over the failure domains.
+double gateway_state::caller_part() const
+{
+    const auto in_region = std::count_if(
+        settings.regions.begin(), settings.regions.end(),
+        [&](const auto& entry) { return entry.second == settings.self.region; });
+    return static_cast<double>(in_region) /
+           static_cast<double>(std::max<std::size_t>(1, settings.regions.size()));
+}
+
+region_split& gateway_state::split(const std::string& service)
+{
+    region_split& out = splits_[service];
+    if (!out.started())
+    {
+        out.start(load_of(service), caller_part(), now());
+    }
+    return out;
+}
+
+void gateway_state::update_splits()
+{
+    for (auto& [service, part] : splits_)
+    {
+        region_load load = load_of(service);
+        // What waits here waits for targets of the region.
+        load.home_load += static_cast<double>(line(service).size());
+        part.update(load, now());
+    }
 }
 
 } // namespace siskinflow::gateway
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -8,13 +8,13 @@
 #include <siskinflow/gateway/peers.hpp>
 #include <siskinflow/gateway/policy.hpp>
 #include <siskinflow/gateway/rate_share.hpp>
+#include <siskinflow/gateway/region_split.hpp>
 #include <siskinflow/gateway/target_chooser.hpp>
 #include <siskinflow/gateway/targets.hpp>
 #include <siskinflow/gateway/waiting_line.hpp>
 #include <siskinflow/gateway/work_estimate.hpp>
 #include <siskinflow/net/event_loop.hpp>
 #include <siskinflow/net/http_client.hpp>
-#include <siskinflow/routing/shift_limiter.hpp>
 #include <siskinflow/store/store.hpp>
 #include <siskinflow/telemetry/log.hpp>
 #include <siskinflow/telemetry/metrics.hpp>
@@ -50,7 +50,6 @@
     target_directory targets;
     target_chooser chooser;
     peer_table peers;
-    std::unique_ptr<routing::shift_limiter> shift;
     std::unordered_map<std::string, rate_share> shares; ///< By organisation.
     /// Organisations with a rate, by their number in messages.
     std::unordered_map<std::uint32_t, std::string> numbered;
@@ -98,15 +97,21 @@
     /// @brief Brings this VM's parts of all fleet-wide limits up to date.
     void update_shares();
 
-    /// @brief Brings the regions of the shift limiter up to date.
-    void update_regions();
+    /// @brief Part of a service's requests that leaves the region.
+    region_split& split(const std::string& service);
+
+    /// @brief Brings these parts up to date with the load.
+    void update_splits();
 
 private:
     void update_cold_rates();
+    region_load load_of(const std::string& service) const;
+    double caller_part() const;
 
     std::unordered_map<std::string, work_estimate> work_;
     std::unordered_map<std::string, retry_budget> retries_;
     std::unordered_map<std::string, waiting_line> lines_;
+    std::unordered_map<std::string, region_split> splits_;
     std::unordered_map<waiting_id, std::weak_ptr<request_flow>> waiting_;
     std::unordered_map<std::string, std::map<std::string, double>> credits_;
     std::unordered_map<std::string, double> logged_parts_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -88,6 +88,7 @@
                                             }
                                         });
     state_.retries(service_).on_request();
+    leaves_region_ = state_.split(service_).leaves(object_);
     place();
 }
 
@@ -195,18 +196,14 @@
     request.region_allowed = [this](std::string_view region)
     { return region_allowed(region); };
     request.excluded = tried_;
+    request.leaves_region = leaves_region_;
     request.work = state_.work(*route_, service_).current();
     request.left = left();
-    return state_.chooser.choose(request, state_.shift.get(), state_.now());
+    return state_.chooser.choose(request, state_.now());
 }
 
 void request_flow::place()
 {
-    if (!offered_)
-    {
-        state_.shift->offered(state_.now());
-        offered_ = true;
-    }
     const choice_outcome outcome = choose();
     if (outcome.choice)
     {
@@ -378,8 +375,6 @@
     too_large_ = false;
     answer_ = {};
     target_->on_sent(now);
-    state_.shift->sent(target_->record().region, now);
-    offered_ = false;
     state_.line(service_).on_placed(now);
     tried_.push_back(target_->record().id);
     if (object_)
@@ -705,11 +700,6 @@
 {
     ended_ = true;
     leave_line();
-    if (offered_)
-    {
-        state_.shift->withdrawn(false, state_.now());
-        offered_ = false;
-    }
     state_.loop.cancel(deadline_timer_);
     state_.loop.cancel(attempt_timer_);
     call_.reset();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -106,7 +106,7 @@
     timer_id waiting_timer_ = 0;
     time_point waiting_since_;
     duration waited_{0};
-    bool offered_ = false; ///< Counted by the shift limiter, not yet placed.
+    bool leaves_region_ = false;
 
     std::shared_ptr<net::http_call> call_;
     timer_id attempt_timer_ = 0;
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -161,7 +161,6 @@
     }
     if (added)
     {
-        state_.update_regions();
         state_.update_shares();
         state_.place_waiting(entry.service);
     }
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -25,6 +25,11 @@
     return stable_hash(target, object);
 }
 
+bool is_away(distance where)
+{
+    return where == distance::other_region;
+}
+
 } // namespace
 
 std::string_view name(choice_failure value) noexcept
@@ -73,9 +78,9 @@
         targets_.locations(std::string(request.service)).objects();
     const bool by_domain =
         !request.object || objects <= in_domain * objects_per_target;
-    const auto tier = [by_domain](const ranked& entry)
+    const auto tier = [&](const ranked& entry)
     {
-        if (entry.where == distance::other_region)
+        if (is_away(entry.where) != request.leaves_region)
         {
             return 2;
         }
@@ -94,15 +99,14 @@
 
 std::vector<candidate>
 target_chooser::candidates(const std::vector<ranked>& found,
-                           const choice_request& request,
-                           const routing::shift_limiter* shift, time_point now)
+                           const choice_request& request, time_point now)
 {
     const object_locations& locations =
         targets_.locations(std::string(request.service));
     const double usual = targets_.usual_load(std::string(request.service));
     std::vector<candidate> out;
     out.reserve(found.size());
-    bool home_in_use = false;
+    bool side_in_use = false;
     for (std::size_t i = 0; i < found.size(); ++i)
     {
         target& entry = *found[i].entry;
@@ -110,7 +114,8 @@
         {
             continue;
         }
-        home_in_use = home_in_use || found[i].where != distance::other_region;
+        side_in_use =
+            side_in_use || is_away(found[i].where) == request.leaves_region;
         candidate option;
         option.target = static_cast<std::uint32_t>(i);
         option.where = found[i].where;
@@ -127,23 +132,15 @@
                                  : object_state::cold;
         out.push_back(option);
     }
-    if (home_in_use && shift != nullptr)
+    if (side_in_use)
     {
-        // Without a usable target in the region, the whole part moves at once.
-        std::erase_if(
-            out,
-            [&](const candidate& option)
-            {
-                return option.where == distance::other_region &&
-                       !shift->allows(
-                           found[option.target].entry->record().region, now);
-            });
+        std::erase_if(out, [&](const candidate& option)
+                      { return is_away(option.where) != request.leaves_region; });
     }
     return out;
 }
 
 choice_outcome target_chooser::choose(const choice_request& request,
-                                      const routing::shift_limiter* shift,
                                       time_point now)
 {
     std::vector<ranked> found = eligible(request);
@@ -152,7 +149,7 @@
         return {std::nullopt, choice_failure::no_target};
     }
     order(found, request);
-    const auto options = candidates(found, request, shift, now);
+    const auto options = candidates(found, request, now);
     const auto placed = place(options, request.work, request.left, costs_);
     if (placed)
     {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -2,6 +2,7 @@
 #include <siskinflow/gateway/placement.hpp>
 #include <siskinflow/gateway/policy.hpp>
 #include <siskinflow/gateway/rate_share.hpp>
+#include <siskinflow/gateway/region_split.hpp>
 #include <siskinflow/gateway/targets.hpp>
 #include <siskinflow/gateway/waiting_line.hpp>
 
@@ -307,3 +308,69 @@
     line.remove(2);
     EXPECT(line.size() == 2);
 }
+
+// Guards against a region that drowns in its own requests while others are
+// free, and against traffic that moves between regions too fast.
+Test(gateway_region_split, moves_slowly_towards_free_slots)
+{
+    time_point now = manual_clock().now();
+    section("a region with a tenth of the slots and a third of the callers",
+            [&]
+            {
+                region_split split;
+                split.start({0, 72, 0, 660}, 1.0 / 3, now);
+                EXPECT(split.part() > 0.4 && split.part() < 0.7);
+            });
+    section("a region with its part of the slots keeps its requests",
+            [&]
+            {
+                region_split split;
+                split.start({0, 330, 0, 400}, 1.0 / 3, now);
+                EXPECT(split.part() == 0);
+            });
+    section("no more than 15% in 2 s under any load",
+            [&]
+            {
+                cr_assert(rc::check(
+                    [&]
+                    {
+                        region_split split;
+                        time_point at = now;
+                        split.start({0, 72, 0, 660}, 1.0 / 3, at);
+                        std::vector<double> parts;
+                        for (int i = 0; i < 60; ++i)
+                        {
+                            parts.push_back(split.part());
+                            at += 200ms;
+                            const auto home = *rc::gen::inRange(0, 200);
+                            const auto away = *rc::gen::inRange(0, 1500);
+                            split.update({double(home), 72, double(away), 660},
+                                         at);
+                            if (i >= 10)
+                            {
+                                RC_ASSERT(std::abs(split.part() -
+                                                   parts[i - 10 + 1]) <= 0.15);
+                            }
+                        }
+                    }));
+            });
+    section("slots lost at once are followed at once",
+            [&]
+            {
+                region_split split;
+                split.start({0, 300, 0, 600}, 1.0 / 3, now);
+                split.update({100, 150, 100, 600}, now + 200ms);
+                EXPECT(split.part() > 0.45);
+            });
+    section("an object stays on its side while the part stays",
+            [&]
+            {
+                region_split split;
+                split.start({0, 72, 0, 660}, 1.0 / 3, now);
+                for (std::uint64_t object = 0; object < 100; ++object)
+                {
+                    EXPECT(split.leaves(object * 7919) ==
+                           split.leaves(object * 7919));
+                }
+            });
+}
