--- a/include/siskinflow/gateway/placement.hpp
+++ b/include/siskinflow/gateway/placement.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace siskinflow::gateway
 {
@@ -33,12 +34,15 @@
     recent, ///< This VM sent a request on it there lately.
 };
 
+std::string_view name(object_state value) noexcept;
+
 /// @brief A target that may get the request.
 struct candidate
 {
     std::uint32_t target = 0; ///< Given back by `place`.
     distance where = distance::same_domain;
     object_state object = object_state::cold;
+    double warm_chance = 0; ///< That it does warm work, from 0 to 1.
     unsigned rank = 0;   ///< Position in the order of the object's targets.
     double load = 0;     ///< Requests that run or wait there, of all VMs.
     unsigned slots = 1;  ///< Requests that run at once.
@@ -73,7 +77,7 @@
     duration rank_step = std::chrono::milliseconds(20);
     /// Cost of an answer that is expected after the objective.
     duration late = std::chrono::milliseconds(1500);
-    /// Advantage of an untried target in the VM's region: without its first
+    /// Advantage of an untried target in the VM's failure domain: without its first
     /// requests a new target holds no object, and would never be the best.
     duration first_request = std::chrono::milliseconds(2500);
 };
@@ -84,15 +88,16 @@
     std::uint32_t target = 0;
     duration expected{0}; ///< Until the answer.
     bool on_time = false; ///< Expected within the objective.
-    bool warm = false;    ///< Expected to have the object at hand.
+    object_state object = object_state::cold;
+    unsigned rank = 0; ///< Of the target in the order of the object.
 };
 
 /// @brief Expected time from now to the answer of a candidate.
 duration expected_completion(const candidate& option, const work_time& work,
                              const placement_costs& costs);
 
-/// @brief Chooses the candidate of the lowest cost that can answer before the
-/// deadline. A request that would be late queues at no target: the slot goes
+/// @brief Chooses the candidate of the lowest cost that may well answer before
+/// the deadline. A request that would be late queues at no target: the slot goes
 /// to one that can be on time.
 /// @return nothing if no candidate has room for it now
 std::optional<placement> place(std::span<const candidate> candidates,
--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -77,6 +77,7 @@
         std::uint64_t weight;
     };
 
+    double expected_objects(std::string_view service) const;
     std::vector<ranked> eligible(const choice_request& request);
     void order(std::vector<ranked>& found, const choice_request& request);
     std::vector<candidate> candidates(const std::vector<ranked>& found,
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -6,6 +6,7 @@
 #include <siskinflow/core/clock.hpp>
 #include <siskinflow/gateway/placement.hpp>
 #include <siskinflow/gateway/target_record.hpp>
+#include <siskinflow/gateway/warm_chance.hpp>
 
 #include <functional>
 #include <map>
@@ -73,6 +74,12 @@
         return !tried_;
     }
 
+    /// @brief Leaves out the first request that a new target gets.
+    void skip_introduction()
+    {
+        tried_ = true;
+    }
+
     /// @brief When it last gave an answer of any kind.
     time_point answered_at() const
     {
@@ -165,6 +172,16 @@
     /// @brief Forgets a target, whose next incarnation holds nothing.
     void forget(const std::string& target);
 
+    /// @brief How often targets turned out to have objects at hand.
+    warm_chance& chance()
+    {
+        return chance_;
+    }
+    const warm_chance& chance() const
+    {
+        return chance_;
+    }
+
     /// @brief Number of objects seen.
     std::size_t objects() const
     {
@@ -178,6 +195,7 @@
         time_point at;
     };
     std::unordered_map<std::uint64_t, std::vector<location>> by_object_;
+    warm_chance chance_;
 };
 
 /// @brief Where this VM is.
@@ -206,6 +224,10 @@
     /// @brief Target of an id; null if there is none.
     target_ptr find(const std::string& id) const;
 
+    /// @brief Number of targets of a service for one failure domain, on
+    /// average over the failure domains that have any.
+    double usual_targets(const std::string& service) const;
+
     /// @brief Targets of a service, draining ones included.
     const std::vector<target_ptr>& of_service(const std::string& name) const;
 
--- a/include/siskinflow/gateway/work_estimate.hpp
+++ b/include/siskinflow/gateway/work_estimate.hpp
@@ -12,8 +12,9 @@
 {
 public:
     /// @brief Starts from the route's objective: most cold work takes a
-    /// little longer than it, most warm work well under half.
-    explicit work_estimate(duration objective);
+    /// little longer than it, most warm work well under half, and all of it
+    /// is done within the route's timeout.
+    work_estimate(duration objective, duration timeout);
 
     /// @brief Adds the time of a request that did not queue at its target.
     /// @param taken from sending to the whole answer, without the trip
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -38,7 +38,7 @@
                                    const std::string& service)
 {
     const std::string name = route.name + '\n' + service;
-    return work_.try_emplace(name, route.objective).first->second;
+    return work_.try_emplace(name, route.objective, route.timeout).first->second;
 }
 
 retry_budget& gateway_state::retries(const std::string& service)
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -498,7 +498,11 @@
         taken -= std::min(taken, placement_costs{}.region_round_trip);
     }
     work_estimate& work = state_.work(*route_, service_);
-    const bool warm = work.observe(taken, placement_.warm);
+    warm_chance& chance = state_.targets.locations(service_).chance();
+    const double expected =
+        chance.of(placement_.object, placement_.rank);
+    const bool warm = work.observe(taken, expected > 0.5);
+    chance.observe(placement_.object, placement_.rank, warm);
     const work_time usual = work.current();
     target_->on_work_time(taken, warm ? usual.warm : usual.cold);
 }
@@ -731,7 +735,8 @@
                       {"organisation", organisation_name()},
                       {"service", service_},
                       {"target", target_->record().id},
-                      {"state", placement_.warm ? "warm" : "cold"},
+                      {"object", gateway::name(placement_.object)},
+                      {"rank", placement_.rank},
                       {"attempts", tried_.size()},
                       {"waited_ms", to_ms(waited_)},
                       {"total_ms", to_ms(spent())},
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -106,6 +106,11 @@
     logged_listener::on_available(down);
 }
 
+void target_feed::on_listed()
+{
+    listed_ = true;
+}
+
 void target_feed::on_change(const store_change& change)
 {
     if (change.removed)
@@ -159,6 +164,12 @@
                   entry.warm_up_left)
                   .count()}});
     }
+    if (added && state_.in_progress.empty() && !listed_)
+    {
+        // Targets that were there before the first request are warmed by the
+        // order of the objects.
+        state_.targets.find(entry.id)->skip_introduction();
+    }
     if (added)
     {
         state_.update_shares();
--- a/src/gateway/state_feed.hpp
+++ b/src/gateway/state_feed.hpp
@@ -56,6 +56,7 @@
 
     void on_change(const store_change& change) override;
     void on_available(duration down) override;
+    void on_listed() override;
 
 private:
     void on_registered(const store_change& change);
@@ -63,6 +64,7 @@
     void remove(const std::string& id, store_revision revision);
 
     const record_format& records_;
+    bool listed_ = false;
     /// Until then, entries that lapsed during an outage may come back.
     time_point settled_at_{};
     std::map<std::string, timer_id> removals_; ///< Put off, by target.
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -12,7 +12,11 @@
 
 /// Objects of a service for each target of a failure domain up to which the
 /// domain keeps them by itself. A target holds about 25 to 80 objects.
-constexpr std::size_t objects_per_target = 24;
+constexpr double objects_per_target = 24;
+/// Objects for each target of an ordinary failure domain that are expected
+/// before all have been seen. A domain with far fewer targets than the others
+/// then need not change its order once it has seen them.
+constexpr double objects_expected_per_target = 12;
 /// Positions of the order that matter to the choice.
 constexpr std::size_t ordered_targets = 8;
 
@@ -67,6 +71,14 @@
     return out;
 }
 
+double target_chooser::expected_objects(std::string_view service) const
+{
+    const std::string name(service);
+    return std::max(
+        static_cast<double>(targets_.locations(name).objects()),
+        targets_.usual_targets(name) * objects_expected_per_target);
+}
+
 void target_chooser::order(std::vector<ranked>& found,
                            const choice_request& request)
 {
@@ -74,10 +86,10 @@
         std::count_if(found.begin(), found.end(),
                       [](const ranked& entry)
                       { return entry.where == distance::same_domain; }));
-    const std::size_t objects =
-        targets_.locations(std::string(request.service)).objects();
     const bool by_domain =
-        !request.object || objects <= in_domain * objects_per_target;
+        !request.object ||
+        expected_objects(request.service) <=
+            static_cast<double>(in_domain) * objects_per_target;
     const auto tier = [&](const ranked& entry)
     {
         if (is_away(entry.where) != request.leaves_region)
@@ -124,12 +136,16 @@
         option.slots = entry.record().slots;
         option.slowness = entry.slowness();
         option.untried = entry.untried();
-        const bool recent =
-            !request.object ||
-            locations.recent(*request.object, entry.record().id, now);
-        option.object = recent   ? object_state::recent
-                        : i == 0 ? object_state::likely
-                                 : object_state::cold;
+        if (request.object)
+        {
+            const bool recent =
+                locations.recent(*request.object, entry.record().id, now);
+            option.object = recent   ? object_state::recent
+                            : i == 0 ? object_state::likely
+                                     : object_state::cold;
+        }
+        option.warm_chance =
+            locations.chance().of(option.object, option.rank);
         out.push_back(option);
     }
     if (side_in_use)
@@ -167,6 +183,7 @@
         {
             candidate idle = option;
             idle.load = 0;
+            idle.warm_chance = 1;
             return expected_completion(idle, request.work, costs_) <=
                    request.left.deadline;
         });
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -288,6 +288,19 @@
     return found == by_service_.end() ? none : found->second;
 }
 
+double target_directory::usual_targets(const std::string& service) const
+{
+    std::set<std::string_view> domains;
+    const auto& all = of_service(service);
+    for (const target_ptr& entry : all)
+    {
+        domains.insert(entry->record().failure_domain);
+    }
+    return domains.empty() ? 0
+                           : static_cast<double>(all.size()) /
+                                 static_cast<double>(domains.size());
+}
+
 bool target_directory::in_service(const target& which) const
 {
     return !which.record().draining &&
--- a/src/gateway/work_estimate.cpp
+++ b/src/gateway/work_estimate.cpp
@@ -1,5 +1,7 @@
 #include <siskinflow/gateway/work_estimate.hpp>
 
+#include <algorithm>
+
 namespace siskinflow::gateway
 {
 
@@ -16,8 +18,9 @@
 
 } // namespace
 
-work_estimate::work_estimate(duration objective)
-    : current_{objective * 5 / 4, objective * 2 / 5}
+work_estimate::work_estimate(duration objective, duration timeout)
+    : current_{std::min(objective * 5 / 4, timeout * 3 / 4),
+               std::min(objective * 2 / 5, timeout / 4)}
 {
 }
 
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -50,7 +50,7 @@
 
 constexpr std::string_view served_fields[] = {
     "request", "route",    "organisation", "service",     "target",
-    "state",   "attempts", "waited_ms",    "total_ms",    "status",
+    "object",  "rank", "attempts", "waited_ms",    "total_ms",    "status",
     "policy",  "load",     "expected_ms",  "objective_ms"};
 constexpr std::string_view not_served_fields[] = {
     "request",        "route",    "organisation",  "service",  "reason",
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -5,6 +5,7 @@
 #include <siskinflow/gateway/region_split.hpp>
 #include <siskinflow/gateway/targets.hpp>
 #include <siskinflow/gateway/waiting_line.hpp>
+#include <siskinflow/gateway/work_estimate.hpp>
 
 #include <rapidcheck.h>
 
@@ -26,6 +27,7 @@
     candidate out;
     out.target = id;
     out.object = object;
+    out.warm_chance = object == object_state::recent ? 0.95 : 0.05;
     out.load = load;
     out.slots = 6;
     out.rank = id;
@@ -45,7 +47,8 @@
                     at_home(0, object_state::recent, 6.5),
                     at_home(1, object_state::cold, 0)};
                 const auto got = place(options, lookup_work, {500ms, 3s});
-                EXPECT(got && got->target == 0 && got->on_time && got->warm);
+                EXPECT(got && got->target == 0 && got->on_time &&
+                       got->object == object_state::recent);
             });
     section("another region, if home is late",
             [&]
@@ -64,7 +67,7 @@
                     at_home(0, object_state::cold, 6)};
                 EXPECT(!place(options, lookup_work, {500ms, 3s}));
             });
-    section("a new target in the region gets a first request",
+    section("a new target in the domain gets a first request",
             [&]
             {
                 candidate added = at_home(1, object_state::cold, 0);
@@ -82,6 +85,24 @@
             });
 }
 
+// Guards against a route that was just added and whose requests are refused
+// because of a guess of their work time.
+Test(gateway_work_estimate, allows_any_route_its_first_requests)
+{
+    cr_assert(rc::check(
+        [&]
+        {
+            const auto timeout =
+                std::chrono::milliseconds(*rc::gen::inRange(40, 5000));
+            const auto objective =
+                std::chrono::milliseconds(*rc::gen::inRange(20, 5000));
+            const work_estimate estimate(objective, timeout);
+            const std::vector<candidate> options = {
+                at_home(0, object_state::cold, 0)};
+            RC_ASSERT(place(options, estimate.current(), {objective, timeout}));
+        }));
+}
+
 // Guards against a route that matches by a shorter prefix or another host.
 Test(gateway_policy, finds_the_longest_prefix_of_the_host)
 {
