Ask for changes anew once the store answers again; test gateways as processes

A store that was silent may forget a watch on a connection that stays open; the process test waited 27 s for the next version. The renewal of the VM's lease notices the outage, and the mirrors then watch anew.

--- a/include/siskinflow/store/lease_keeper.hpp
+++ b/include/siskinflow/store/lease_keeper.hpp
@@ -6,6 +6,7 @@
 #include <siskinflow/core/timer_queue.hpp>
 #include <siskinflow/store/lease_store.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,9 @@
     lease_keeper(const lease_keeper&) = delete;
     lease_keeper& operator=(const lease_keeper&) = delete;
 
+    /// @brief Called when a call succeeds after one or more have failed.
+    void on_recovered(std::function<void()> callback);
+
     /// @brief Takes a lease and writes the key.
     void start();
 
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -57,6 +57,10 @@
     /// @brief Begins with the listing.
     void start();
 
+    /// @brief Asks anew for changes. A store that was down may have forgotten
+    /// a watch that still waits on an open connection.
+    void refresh();
+
     /// @brief Whether a listing has been completed.
     bool listed() const;
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -192,6 +192,13 @@
             log.write(event_id::lifecycle_changed,
                       {{"from", name(from)}, {"to", name(to)}});
         });
+    registration.on_recovered(
+        [this]
+        {
+            operator_mirror.refresh();
+            target_mirror.refresh();
+            vm_mirror.refresh();
+        });
     operator_mirror.start();
     target_mirror.start();
     vm_mirror.start();
--- a/src/store/lease_keeper.cpp
+++ b/src/store/lease_keeper.cpp
@@ -32,6 +32,8 @@
     duration ttl;
     std::uint64_t lease = 0; ///< 0: none is held.
     bool stopped = false;
+    bool failing = false;
+    std::function<void()> on_recovered;
 
     void grant()
     {
@@ -43,6 +45,7 @@
 
     void on_granted(const result<store_lease>& granted)
     {
+        note(granted.has_value());
         if (!granted)
         {
             after(retry_delay, &impl::grant);
@@ -66,6 +69,7 @@
 
     void on_written(const result<void>& written)
     {
+        note(written || written.error().code == errc::not_found);
         if (!written && written.error().code == errc::not_found)
         {
             grant();
@@ -90,6 +94,7 @@
 
     void on_renewed(const result<void>& renewed)
     {
+        note(renewed || renewed.error().code == errc::not_found);
         if (!renewed && renewed.error().code == errc::not_found)
         {
             grant();
@@ -98,6 +103,17 @@
         after(renewed ? ttl / renewals_per_ttl : retry_delay, &impl::renew);
     }
 
+    /// Notes whether the store answered.
+    void note(bool answered)
+    {
+        const bool recovered = failing && answered;
+        failing = !answered;
+        if (recovered && on_recovered && !stopped)
+        {
+            on_recovered();
+        }
+    }
+
     void after(duration delay, void (impl::*next)())
     {
         if (stopped)
@@ -143,6 +159,11 @@
     impl_->stopped = true;
 }
 
+void lease_keeper::on_recovered(std::function<void()> callback)
+{
+    impl_->on_recovered = std::move(callback);
+}
+
 void lease_keeper::start()
 {
     impl_->grant();
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -38,6 +38,7 @@
     mirror_listener* listener; ///< Null once the mirror is destroyed.
     std::map<std::string, store_revision> known;
     store_revision revision = 0;
+    std::uint64_t watch = 0; ///< Number of the watch that counts.
     bool has_listed = false;
     bool failing = false;
     time_point failing_since{};
@@ -53,10 +54,16 @@
 
     void await()
     {
-        source.await_changes(
-            prefix, revision, watch_wait,
-            [self = shared_from_this()](result<store_page> page)
-            { self->on_changes(std::move(page)); });
+        const std::uint64_t number = ++watch;
+        source.await_changes(prefix, revision, watch_wait,
+                             [self = shared_from_this(), number](
+                                 result<store_page> page)
+                             {
+                                 if (number == self->watch)
+                                 {
+                                     self->on_changes(std::move(page));
+                                 }
+                             });
     }
 
     void on_list(result<store_page> page)
@@ -203,6 +210,14 @@
     impl_->list();
 }
 
+void store_mirror::refresh()
+{
+    if (impl_->has_listed && !impl_->failing)
+    {
+        impl_->await();
+    }
+}
+
 bool store_mirror::listed() const
 {
     return impl_->has_listed;
--- /dev/null
+++ b/standins/lib/kv_service.cpp
@@ -0,0 +1,370 @@
+#include "kv_service.hpp"
+#include <siskinflow/config/duration_text.hpp>
+#include <siskinflow/store/base64.hpp>
+
+#include <algorithm>
+
+namespace standin
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+using namespace siskinflow;
+
+/// Items of one page; smaller than the platform's so that tests see pages.
+constexpr std::size_t page_items = 50;
+
+std::string query_value(std::string_view query, std::string_view name)
+{
+    while (!query.empty())
+    {
+        const auto end = std::min(query.find('&'), query.size());
+        const std::string_view pair = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        const auto equals = std::min(pair.find('='), pair.size());
+        if (pair.substr(0, equals) == name && equals < pair.size())
+        {
+            return std::string(pair.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+std::int64_t number(const std::string& text)
+{
+    return text.empty() ? 0 : std::strtoll(text.c_str(), nullptr, 10);
+}
+
+void respond(const net::exchange_ptr& exchange, int status, const json& body)
+{
+    exchange->respond(
+        {status, {{"content-type", "application/json"}}, body.dump()});
+}
+
+} // namespace
+
+kv_service::kv_service(const siskinflow::clock& time) : time_(time) {}
+
+void kv_service::handle(const net::exchange_ptr& exchange)
+{
+    if (outage_ == kv_outage::silent)
+    {
+        return;
+    }
+    if (outage_ == kv_outage::refuse)
+    {
+        respond(exchange, 503, json::object());
+        return;
+    }
+    call(exchange);
+}
+
+void kv_service::call(const net::exchange_ptr& exchange)
+{
+    const std::string& path = exchange->request().path;
+    ++calls_[path.substr(0, path.find('/', 1))];
+    const auto id = [&path]
+    {
+        return static_cast<std::uint64_t>(
+            number(path.substr(path.rfind('/') + 1)));
+    };
+    if (path == "/kv-range")
+    {
+        range(exchange);
+    }
+    else if (path == "/kv-watch")
+    {
+        watch(exchange);
+    }
+    else if (path == "/kv-txn")
+    {
+        txn(exchange);
+    }
+    else if (path == "/kv-lease")
+    {
+        grant(exchange);
+    }
+    else if (path.starts_with("/kv-keep/"))
+    {
+        keep(exchange, id());
+    }
+    else if (path.starts_with("/kv-lease-end/"))
+    {
+        end(exchange, id());
+    }
+    else
+    {
+        respond(exchange, 404, json::object());
+    }
+}
+
+json kv_service::to_json(const std::string& key, const item& entry) const
+{
+    return {{"key", key},
+            {"value", entry.value},
+            {"revision", entry.revision},
+            {"create-rev", entry.created},
+            {"lease", entry.lease}};
+}
+
+void kv_service::range(const net::exchange_ptr& exchange)
+{
+    const std::string& query = exchange->request().query;
+    const std::string prefix = query_value(query, "prefix");
+    const std::string after = query_value(query, "after");
+    json list = json::array();
+    bool more = false;
+    for (const auto& [key, entry] : items_)
+    {
+        if (!key.starts_with(prefix) || (!after.empty() && key <= after))
+        {
+            continue;
+        }
+        if (list.size() == page_items)
+        {
+            more = true;
+            break;
+        }
+        list.push_back(to_json(key, entry));
+    }
+    respond(exchange, 200,
+            {{"items", list}, {"has-more", more}, {"current-rev", revision_}});
+}
+
+void kv_service::watch(const net::exchange_ptr& exchange)
+{
+    const std::string& query = exchange->request().query;
+    watcher waiting;
+    waiting.exchange = exchange;
+    waiting.prefix = query_value(query, "prefix");
+    waiting.after = number(query_value(query, "after"));
+    waiting.until = time_.now() + std::chrono::milliseconds(
+                                      number(query_value(query, "wait-ms")));
+    if (waiting.after < compacted_)
+    {
+        respond(exchange, 410, json::object());
+        return;
+    }
+    if (!answer_watch(waiting))
+    {
+        watchers_.push_back(waiting);
+    }
+}
+
+bool kv_service::answer_watch(const watcher& waiting)
+{
+    json events = json::array();
+    for (const event& change : history_)
+    {
+        if (change.revision <= waiting.after ||
+            !change.key.starts_with(waiting.prefix))
+        {
+            continue;
+        }
+        const auto present = items_.find(change.key);
+        if (change.removed || present == items_.end())
+        {
+            events.push_back({{"key", change.key},
+                              {"revision", change.revision},
+                              {"tombstone", true}});
+        }
+        else if (present->second.revision == change.revision)
+        {
+            events.push_back(to_json(change.key, present->second));
+        }
+    }
+    if (events.empty() && time_.now() < waiting.until)
+    {
+        return false;
+    }
+    respond(waiting.exchange, 200,
+            {{"events", events}, {"current-rev", revision_}});
+    return true;
+}
+
+void kv_service::tell_watchers()
+{
+    std::erase_if(watchers_,
+                  [this](const watcher& waiting) {
+                      return waiting.exchange->done() ||
+                             answer_watch(waiting);
+                  });
+}
+
+void kv_service::txn(const net::exchange_ptr& exchange)
+{
+    const json body = json::parse(exchange->request().body, nullptr, false);
+    if (!body.is_object())
+    {
+        respond(exchange, 400, json::object());
+        return;
+    }
+    for (const json& put : body.value("puts", json::array()))
+    {
+        const std::uint64_t lease = put.value("lease", 0ULL);
+        if (lease != 0 && leases_.count(lease) == 0)
+        {
+            respond(exchange, 404, json::object());
+            return;
+        }
+    }
+    const std::int64_t revision = ++revision_;
+    for (const json& put : body.value("puts", json::array()))
+    {
+        write(put.value("key", ""), put.value("value", ""),
+              put.value("lease", 0ULL), revision);
+    }
+    for (const json& key : body.value("remove", json::array()))
+    {
+        erase(key.get<std::string>(), revision);
+    }
+    respond(exchange, 200, {{"revision", revision}});
+    tell_watchers();
+}
+
+void kv_service::grant(const net::exchange_ptr& exchange)
+{
+    const json body = json::parse(exchange->request().body, nullptr, false);
+    const auto ttl = parse_duration(
+        body.is_object() ? body.value("ttl_time", "") : std::string());
+    if (!ttl)
+    {
+        respond(exchange, 400, json::object());
+        return;
+    }
+    const std::uint64_t id = ++last_lease_;
+    leases_[id] = {ttl.value(), time_.now() + ttl.value()};
+    respond(exchange, 200,
+            {{"lease", id}, {"ttl_time", body.value("ttl_time", "")}});
+}
+
+void kv_service::keep(const net::exchange_ptr& exchange, std::uint64_t id)
+{
+    const auto found = leases_.find(id);
+    if (found == leases_.end())
+    {
+        respond(exchange, 404, json::object());
+        return;
+    }
+    found->second.ends = time_.now() + found->second.ttl;
+    respond(exchange, 200, json::object());
+}
+
+void kv_service::end(const net::exchange_ptr& exchange, std::uint64_t id)
+{
+    end_lease(id);
+    respond(exchange, 200, json::object());
+    tell_watchers();
+}
+
+void kv_service::write(const std::string& key, const std::string& base64,
+                       std::uint64_t lease, std::int64_t revision)
+{
+    item& entry = items_[key];
+    entry.created = entry.created == 0 ? revision : entry.created;
+    entry.value = base64;
+    entry.revision = revision;
+    entry.lease = lease;
+    history_.push_back({revision, key, false});
+}
+
+void kv_service::erase(const std::string& key, std::int64_t revision)
+{
+    if (items_.erase(key) != 0)
+    {
+        history_.push_back({revision, key, true});
+    }
+}
+
+void kv_service::end_lease(std::uint64_t id)
+{
+    if (leases_.erase(id) == 0)
+    {
+        return;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : items_)
+    {
+        if (entry.lease == id)
+        {
+            keys.push_back(key);
+        }
+    }
+    const std::int64_t revision = ++revision_;
+    for (const std::string& key : keys)
+    {
+        erase(key, revision);
+    }
+}
+
+void kv_service::tick()
+{
+    std::vector<std::uint64_t> ended;
+    for (const auto& [id, entry] : leases_)
+    {
+        if (entry.ends <= time_.now() && outage_ == kv_outage::none)
+        {
+            ended.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : ended)
+    {
+        end_lease(id);
+    }
+    if (outage_ == kv_outage::none)
+    {
+        tell_watchers();
+    }
+}
+
+void kv_service::put(const std::string& key, const std::string& value)
+{
+    write(key, base64_encode(value), 0, ++revision_);
+    tick();
+}
+
+void kv_service::remove(const std::string& key)
+{
+    erase(key, ++revision_);
+    tick();
+}
+
+void kv_service::set_outage(kv_outage outage)
+{
+    outage_ = outage;
+    if (outage == kv_outage::refuse)
+    {
+        for (const watcher& waiting : watchers_)
+        {
+            respond(waiting.exchange, 503, json::object());
+        }
+        watchers_.clear();
+    }
+    if (outage == kv_outage::silent)
+    {
+        // The watches were cut without a word.
+        watchers_.clear();
+    }
+}
+
+void kv_service::compact()
+{
+    compacted_ = revision_;
+    history_.clear();
+    for (const watcher& waiting : watchers_)
+    {
+        respond(waiting.exchange, 410, json::object());
+    }
+    watchers_.clear();
+}
+
+std::size_t kv_service::count(const std::string& prefix) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(items_.begin(), items_.end(), [&](const auto& entry)
+                      { return entry.first.starts_with(prefix); }));
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/lib/kv_service.hpp
@@ -0,0 +1,117 @@
+/// @file
+/// @brief Stand-in for the users' platform's metadata store.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+#include <siskinflow/net/http_server.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace standin
+{
+
+/// @brief How the store fails to answer.
+enum class kv_outage : std::uint8_t
+{
+    none,
+    refuse, ///< Status 503; watches are cut.
+    silent, ///< No answer at all.
+};
+
+/// @brief Keys with revisions, watches and leases, kept in memory.
+class kv_service
+{
+public:
+    /// @param time for leases and waits; must outlive the service
+    explicit kv_service(const siskinflow::clock& time);
+
+    /// @brief Answers one call of the store, at once or later.
+    void handle(const siskinflow::net::exchange_ptr& exchange);
+
+    /// @brief Lets leases and waits run out; call several times a second.
+    void tick();
+
+    /// @brief Writes a key as an operator or target does.
+    void put(const std::string& key, const std::string& value);
+
+    /// @brief Removes a key as an operator or target does.
+    void remove(const std::string& key);
+
+    /// @brief Makes calls fail from now on.
+    void set_outage(kv_outage outage);
+
+    /// @brief Drops all history; waiting watches are told.
+    void compact();
+
+    /// @brief Calls by kind since the start.
+    const std::map<std::string, std::uint64_t>& calls() const
+    {
+        return calls_;
+    }
+
+    /// @brief Keys that begin with a prefix.
+    std::size_t count(const std::string& prefix) const;
+
+private:
+    struct item
+    {
+        std::string value; ///< Base64.
+        std::int64_t revision = 0;
+        std::int64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct event
+    {
+        std::int64_t revision = 0;
+        std::string key;
+        bool removed = false;
+    };
+    struct lease
+    {
+        siskinflow::duration ttl{0};
+        siskinflow::time_point ends;
+    };
+    struct watcher
+    {
+        siskinflow::net::exchange_ptr exchange;
+        std::string prefix;
+        std::int64_t after = 0;
+        siskinflow::time_point until;
+    };
+
+    void call(const siskinflow::net::exchange_ptr& exchange);
+    void range(const siskinflow::net::exchange_ptr& exchange);
+    void watch(const siskinflow::net::exchange_ptr& exchange);
+    void txn(const siskinflow::net::exchange_ptr& exchange);
+    void grant(const siskinflow::net::exchange_ptr& exchange);
+    void keep(const siskinflow::net::exchange_ptr& exchange, std::uint64_t id);
+    void end(const siskinflow::net::exchange_ptr& exchange, std::uint64_t id);
+    void write(const std::string& key, const std::string& base64,
+               std::uint64_t lease, std::int64_t revision);
+    void erase(const std::string& key, std::int64_t revision);
+    void end_lease(std::uint64_t id);
+    bool answer_watch(const watcher& waiting);
+    void tell_watchers();
+    nlohmann::json to_json(const std::string& key, const item& entry) const;
+
+    const siskinflow::clock& time_;
+    std::map<std::string, item> items_;
+    std::deque<event> history_;
+    std::int64_t revision_ = 1;
+    std::int64_t compacted_ = 0; ///< History up to here is gone.
+    std::map<std::uint64_t, lease> leases_;
+    std::uint64_t last_lease_ = 0;
+    std::list<watcher> watchers_;
+    kv_outage outage_ = kv_outage::none;
+    std::map<std::string, std::uint64_t> calls_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standins/lib/platform_target.cpp
@@ -0,0 +1,93 @@
+#include "platform_target.hpp"
+
+namespace standin
+{
+
+using namespace siskinflow;
+
+platform_target::platform_target(net::event_loop& loop,
+                                 platform_target_options options)
+    : loop_(loop), options_(std::move(options))
+{
+}
+
+std::unique_ptr<platform_target>
+platform_target::start(net::event_loop& loop, platform_target_options options)
+{
+    const std::uint16_t port = options.port;
+    std::unique_ptr<platform_target> out(
+        new platform_target(loop, std::move(options)));
+    auto server = net::http_server::listen(
+        loop, {"127.0.0.1", port}, {},
+        [target = out.get()](const net::exchange_ptr& exchange)
+        { target->handle(exchange); });
+    if (!server)
+    {
+        return nullptr;
+    }
+    out->server_ = std::move(server).value();
+    return out;
+}
+
+std::uint16_t platform_target::port() const
+{
+    return server_->port();
+}
+
+bool platform_target::next_is_cut()
+{
+    cut_credit_ += options_.cut_part;
+    const bool out = cut_credit_ >= 1;
+    cut_credit_ -= out ? 1 : 0;
+    return out;
+}
+
+void platform_target::handle(const net::exchange_ptr& exchange)
+{
+    const net::http_headers& headers = exchange->request().headers;
+    const std::string id(headers.value("siskinflow-request-id"));
+    if (headers.value("siskinflow-expected-instance") != options_.id)
+    {
+        exchange->respond({421, {{"siskinflow-request-id", id}}, {}});
+        return;
+    }
+    if (running_ >= options_.slots)
+    {
+        exchange->respond({503,
+                           {{"siskinflow-request-id", id},
+                            {"siskinflow-not-executed", "1"}},
+                           {}});
+        return;
+    }
+    const bool known_caller = headers.contains("siskinflow-tenant-name") &&
+                              !headers.contains("authorization") &&
+                              headers.contains("siskinflow-request-deadline-ms");
+    faults_ += known_caller ? 0 : 1;
+    ++runs_[id];
+    ++running_;
+    loop_.after(options_.work, [this, exchange] { finish(exchange); });
+}
+
+void platform_target::finish(const net::exchange_ptr& exchange)
+{
+    --running_;
+    const std::string body =
+        "answer of " + options_.id + " to " + exchange->request().path;
+    net::http_headers headers{
+        {"siskinflow-request-id",
+         std::string(
+             exchange->request().headers.value("siskinflow-request-id"))},
+        {"siskinflow-response-signature", "signed"},
+        {"siskinflow-server-load", std::to_string(running_) + ",0," +
+                                       std::to_string(options_.slots)}};
+    if (next_is_cut())
+    {
+        exchange->start(200, headers, body.size());
+        exchange->write(body.substr(0, body.size() / 2));
+        exchange->abort();
+        return;
+    }
+    exchange->respond({200, headers, body});
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/lib/platform_target.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// @brief Stand-in for a target of the users' platform.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+#include <siskinflow/net/event_loop.hpp>
+#include <siskinflow/net/http_server.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace standin
+{
+
+/// @brief What a target does and how it fails.
+struct platform_target_options
+{
+    std::string id;
+    std::uint16_t port = 0; ///< 0 takes a free one.
+    siskinflow::duration work = std::chrono::milliseconds(20);
+    unsigned slots = 6;
+    double cut_part = 0; ///< Part of the answers that break off after the run.
+};
+
+/// @brief Runs requests, checks their headers and counts runs by request id.
+class platform_target
+{
+public:
+    /// @return null if the port can't be taken
+    static std::unique_ptr<platform_target>
+    start(siskinflow::net::event_loop& loop, platform_target_options options);
+
+    std::uint16_t port() const;
+
+    /// @brief Runs of each request id.
+    const std::map<std::string, int>& runs() const
+    {
+        return runs_;
+    }
+
+    /// @brief Requests that carried a tenant key or no organisation.
+    std::uint64_t faults() const
+    {
+        return faults_;
+    }
+
+    unsigned running() const
+    {
+        return running_;
+    }
+
+    void set_cut_part(double part)
+    {
+        options_.cut_part = part;
+    }
+
+private:
+    platform_target(siskinflow::net::event_loop& loop,
+                    platform_target_options options);
+
+    void handle(const siskinflow::net::exchange_ptr& exchange);
+    void finish(const siskinflow::net::exchange_ptr& exchange);
+    bool next_is_cut();
+
+    siskinflow::net::event_loop& loop_;
+    platform_target_options options_;
+    std::unique_ptr<siskinflow::net::http_server> server_;
+    std::map<std::string, int> runs_;
+    std::uint64_t faults_ = 0;
+    unsigned running_ = 0;
+    double cut_credit_ = 0;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/lib/gateway_world.cpp
@@ -0,0 +1,272 @@
+#include "gateway_world.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace siskinflow;
+using namespace std::chrono_literals;
+using json = nlohmann::json;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick{50};
+constexpr std::size_t ports_per_vm = 5;
+
+json route(const std::string& name, const std::string& kind)
+{
+    return {{"name", name},
+            {"host", "site.example"},
+            {"prefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeout", "3000ms"},
+            {"target-latency", "300ms"},
+            {"priority", 1},
+            {"max-attempts", 2},
+            {"auth-exempt", false},
+            {"session-affinity", true},
+            {"allowed-regions", json::array()},
+            {"weighted-backends", nullptr},
+            {"service", name}};
+}
+
+/// Columns and rows as the platform writes tables.
+json table(const std::vector<json>& objects)
+{
+    json columns = json::array();
+    json rows = json::array();
+    for (const auto& [name, value] : objects.front().items())
+    {
+        columns.push_back(name);
+    }
+    for (const json& object : objects)
+    {
+        json row = json::array();
+        for (const json& name : columns)
+        {
+            row.push_back(object.at(name.get<std::string>()));
+        }
+        rows.push_back(row);
+    }
+    return {{"columns", columns}, {"rows", rows}};
+}
+
+json service(const std::string& name)
+{
+    return {{"name", name},         {"health-path", "/health"},
+            {"max-connections", 100}, {"warmup", "0s"},
+            {"warmup-per-s", 0}};
+}
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+gateway_world::gateway_world(std::size_t vms)
+    : store_(std::make_unique<standin::kv_service>(time_))
+{
+    auto server = net::http_server::listen(
+        http_.loop(), {"127.0.0.1", 0}, {},
+        [this](const net::exchange_ptr& exchange)
+        { store_->handle(exchange); });
+    store_server_ = std::move(server).value();
+    store_port_ = store_server_->port();
+    ticking_ = http_.loop().every(tick, [this] { store_->tick(); });
+    const auto free = processes::free_ports(vms * ports_per_vm);
+    for (std::size_t i = 0; i < vms; ++i)
+    {
+        const std::uint16_t* own = &free[i * ports_per_vm];
+        ports_.push_back({own[0], own[1], own[2], own[3], own[4]});
+        logs_.push_back((std::filesystem::temp_directory_path() /
+                         ("gateway-" + std::to_string(::getpid()) + "-" +
+                          std::to_string(own[0]) + ".log"))
+                            .string());
+    }
+    vms_.resize(vms);
+}
+
+gateway_world::~gateway_world()
+{
+    vms_.clear();
+    for (const std::string& log : logs_)
+    {
+        std::error_code ignored;
+        std::filesystem::remove(log, ignored);
+    }
+}
+
+void gateway_world::start(std::size_t vm)
+{
+    const gateway_ports& own = ports_[vm];
+    const std::string domain = "zone-" + std::to_string(vm % 2);
+    vms_[vm] = std::make_unique<processes::child>(
+        "siskinflow_gateway",
+        std::vector<std::string>{
+            "--vm_name=vm" + std::to_string(vm), "--region=north",
+            "--failure_domain=" + domain,
+            "--http_listen=" + loopback(own.requests),
+            "--control_listen=" + loopback(own.peers),
+            "--readiness_listen=" + loopback(own.readiness),
+            "--directory_listen=" + loopback(own.directory),
+            "--metrics_listen=" + loopback(own.metrics),
+            "--store=" + loopback(store_port_),
+            "--domain_regions=zone-0=north,zone-1=north"},
+        logs_[vm]);
+}
+
+bool gateway_world::start_all()
+{
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm)
+    {
+        start(vm);
+    }
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm)
+    {
+        if (!until([&] { return readiness(vm) == 200; }))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void gateway_world::configure(const json& extra)
+{
+    json maps = route("maps", "idempotent");
+    maps.update(extra);
+    const json document = {
+        {"version", "r" + std::to_string(++version_)},
+        {"routes", table({maps, route("orders", "non_idempotent")})},
+        {"services", table({service("maps"), service("orders")})},
+        {"limits",
+         {{"max-header-bytes", 16384},
+          {"max-body-bytes", 65536},
+          {"header-timeout", "3000ms"},
+          {"idle-timeout", "15000ms"}}},
+        {"tenants", table({{{"name", "acme"},
+                            {"api-keys", {"key-of-acme"}},
+                            {"priority", 0},
+                            {"rate-per-s", 10000},
+                            {"burst", 10000},
+                            {"allowed-regions", json::array()}}})}};
+    store_->put("op/config", document.dump());
+}
+
+standin::platform_target&
+gateway_world::add_target(const std::string& service,
+                          standin::platform_target_options options)
+{
+    const std::string id = options.id;
+    auto added = standin::platform_target::start(http_.loop(),
+                                                 std::move(options));
+    services_[id] = service;
+    standin::platform_target& out = *added;
+    targets_[id] = std::move(added);
+    register_target(id, "ready");
+    return out;
+}
+
+void gateway_world::register_target(const std::string& id,
+                                    const std::string& state)
+{
+    store_->put("servers/" + id, json{{"service", services_.at(id)},
+                                      {"address",
+                                       loopback(targets_.at(id)->port())},
+                                      {"zone", "zone-0"},
+                                      {"version", "v1"},
+                                      {"max-concurrency", 6},
+                                      {"state", state},
+                                      {"warmup-left", "0ms"},
+                                      {"sequence", 1},
+                                      {"born", 1000}}
+                                     .dump());
+}
+
+std::shared_ptr<net::http_call>
+gateway_world::send(std::size_t vm, const caller_request& request,
+                    std::function<void(net::fetch_result)> done)
+{
+    net::client_request out;
+    out.peer = {"127.0.0.1", ports_[vm].requests};
+    out.method = request.method;
+    out.target = request.path;
+    out.timeout = request.patience + 500ms;
+    out.fresh_connection = true;
+    out.headers.add("host", "site.example");
+    const std::string id =
+        request.id.empty() ? "request-" + std::to_string(++last_request_)
+                           : request.id;
+    out.headers.add("siskinflow-request-id", id);
+    out.headers.add("siskinflow-affinity-key", request.object);
+    out.headers.add("siskinflow-request-deadline-ms",
+                    std::to_string(request.patience.count()));
+    if (!request.key.empty())
+    {
+        out.headers.add("authorization", "Bearer " + request.key);
+    }
+    return net::fetch(http_.client(), std::move(out), 1 << 20,
+                      std::move(done));
+}
+
+net::fetch_result gateway_world::call(std::size_t vm,
+                                      const caller_request& request)
+{
+    std::optional<net::fetch_result> got;
+    const auto running = send(vm, request, [&](net::fetch_result value)
+                              { got = std::move(value); });
+    until([&] { return got.has_value(); }, 10s);
+    return got.value_or(net::fetch_result{});
+}
+
+int gateway_world::readiness(std::size_t vm)
+{
+    const auto got = http_.get(ports_[vm].readiness, "/readiness");
+    return got.outcome == net::call_outcome::complete ? got.response.status : 0;
+}
+
+std::vector<std::string> gateway_world::lookup(std::size_t vm)
+{
+    const auto got =
+        http_.get(ports_[vm].directory,
+                  "/resolve?name=site.example&region=north&zone=zone-9");
+    const json body = json::parse(got.response.body, nullptr, false);
+    return body.is_object()
+               ? body.value("addresses", std::vector<std::string>())
+               : std::vector<std::string>();
+}
+
+bool gateway_world::until(const std::function<bool()>& condition,
+                          std::chrono::milliseconds limit)
+{
+    return http_.run_until(condition, limit);
+}
+
+void gateway_world::run_for(std::chrono::milliseconds time)
+{
+    http_.run_until([] { return false; }, time);
+}
+
+std::string gateway_world::log(std::size_t vm) const
+{
+    std::ifstream file(logs_[vm]);
+    std::ostringstream out;
+    out << file.rdbuf();
+    return out.str();
+}
+
+int gateway_world::runs(const std::string& id) const
+{
+    int out = 0;
+    for (const auto& [name, target] : targets_)
+    {
+        const auto found = target->runs().find(id);
+        out += found == target->runs().end() ? 0 : found->second;
+    }
+    return out;
+}
--- /dev/null
+++ b/tests/support/gateway_world.hpp
@@ -0,0 +1,131 @@
+/// @file
+/// @brief A small platform on loopback with gateways as separate processes.
+#pragma once
+
+#include "kv_service.hpp"
+#include "platform_target.hpp"
+#include "processes.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// @brief Where one gateway process listens.
+struct gateway_ports
+{
+    std::uint16_t requests = 0;
+    std::uint16_t peers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t directory = 0;
+    std::uint16_t metrics = 0;
+};
+
+/// @brief What a caller sends.
+struct caller_request
+{
+    std::string path = "/maps/1";
+    std::string method = "GET";
+    std::string key = "key-of-acme";
+    std::string id; ///< Drawn if empty.
+    std::string object = "1";
+    std::chrono::milliseconds patience{3000};
+};
+
+/// @brief Store and targets run in the test's own loop, gateways in processes.
+/// Routes: `/maps/` is idempotent, `/orders/` is not.
+class gateway_world
+{
+public:
+    /// @param vms gateway processes; they are started by `start`
+    explicit gateway_world(std::size_t vms);
+    ~gateway_world();
+
+    /// @brief Starts the gateway of an index, or starts it again.
+    void start(std::size_t vm);
+
+    /// @brief Starts all gateways and waits until they are ready.
+    bool start_all();
+
+    /// @brief Writes a configuration of the next version.
+    /// @param extra fields that replace those of the first route
+    void configure(const nlohmann::json& extra = nlohmann::json::object());
+
+    /// @brief Starts and registers a target.
+    standin::platform_target& add_target(const std::string& service,
+                                         standin::platform_target_options);
+
+    /// @brief Writes a target's entry again.
+    void register_target(const std::string& id, const std::string& state);
+
+    /// @brief Starts a request; the answer goes to `done`.
+    std::shared_ptr<siskinflow::net::http_call>
+    send(std::size_t vm, const caller_request& request,
+         std::function<void(siskinflow::net::fetch_result)> done);
+
+    /// @brief Sends a request and waits for the answer.
+    siskinflow::net::fetch_result call(std::size_t vm,
+                                       const caller_request& request = {});
+
+    /// @brief Status of the readiness check, 0 without an answer.
+    int readiness(std::size_t vm);
+
+    /// @brief Addresses that the directory of a VM names.
+    std::vector<std::string> lookup(std::size_t vm);
+
+    /// @brief Runs the loop until a condition holds.
+    bool until(const std::function<bool()>& condition,
+               std::chrono::milliseconds limit = std::chrono::seconds(10));
+
+    /// @brief Runs the loop for a time.
+    void run_for(std::chrono::milliseconds time);
+
+    standin::kv_service& store()
+    {
+        return *store_;
+    }
+    processes::child& vm(std::size_t index)
+    {
+        return *vms_.at(index);
+    }
+    const gateway_ports& ports(std::size_t index) const
+    {
+        return ports_.at(index);
+    }
+    processes::http& caller()
+    {
+        return http_;
+    }
+    /// @brief Standard output of a gateway so far.
+    std::string log(std::size_t vm) const;
+
+    /// @brief Runs of a request id over all targets.
+    int runs(const std::string& id) const;
+
+    /// @brief Replaces the store's address for gateways started from now on.
+    void store_port(std::uint16_t port)
+    {
+        store_port_ = port;
+    }
+    std::uint16_t store_port() const
+    {
+        return store_port_;
+    }
+
+private:
+    siskinflow::boot_clock time_;
+    processes::http http_;
+    std::unique_ptr<standin::kv_service> store_;
+    std::unique_ptr<siskinflow::net::http_server> store_server_;
+    std::shared_ptr<void> ticking_;
+    std::uint16_t store_port_ = 0;
+    std::vector<gateway_ports> ports_;
+    std::vector<std::unique_ptr<processes::child>> vms_;
+    std::vector<std::string> logs_;
+    std::map<std::string, std::unique_ptr<standin::platform_target>> targets_;
+    std::map<std::string, std::string> services_; ///< By target.
+    unsigned version_ = 0;
+    unsigned last_request_ = 0;
+};
