--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -18,6 +18,11 @@
 
 /// Chance of being late up to which a request may queue at a target.
 constexpr double acceptable_late_chance = 0.6;
+/// Utilization from which late work keeps to the first targets of its object.
+/// Cold work takes three times the slots of warm work, and spread over all
+/// targets it leaves none of them warm for the next request.
+constexpr double crowded_utilization = 0.8;
+constexpr unsigned spread_limit = 2;
 /// Chance of missing the deadline up to which a request is sent at all.
 constexpr double acceptable_miss_chance = 0.75;
 
@@ -97,6 +102,19 @@
     return option.load + 1 <= most;
 }
 
+/// Part of the candidates' slots that is in use.
+double utilization(std::span<const candidate> candidates)
+{
+    double load = 0;
+    double slots = 0;
+    for (const candidate& option : candidates)
+    {
+        load += option.load;
+        slots += option.slots;
+    }
+    return slots > 0 ? load / slots : 0;
+}
+
 constexpr std::array<std::string_view, 3> object_state_names = {
     "cold", "likely", "recent"};
 
@@ -119,6 +137,7 @@
                                const work_time& work, const time_left& left,
                                const placement_costs& costs)
 {
+    const bool crowded = utilization(candidates) > crowded_utilization;
     std::optional<placement> best;
     duration best_cost = duration::max();
     for (const candidate& option : candidates)
@@ -134,6 +153,11 @@
         {
             continue;
         }
+        if (crowded && late > acceptable_late_chance &&
+            option.rank >= spread_limit)
+        {
+            continue;
+        }
         const duration cost =
             expected + crossing_cost(option.where, costs) +
             costs.rank_step * std::min(option.rank, most_ranks) +
