--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -21,8 +21,8 @@
 /// Utilization from which late work keeps to the first targets of its object.
 /// Cold work takes three times the slots of warm work, and spread over all
 /// targets it leaves none of them warm for the next request.
-constexpr double crowded_utilization = 0.8;
-constexpr unsigned spread_limit = 2;
+constexpr double crowded_utilization = 0.6;
+constexpr unsigned spread_limit = 1;
 /// Chance of missing the deadline up to which a request is sent at all.
 constexpr double acceptable_miss_chance = 0.75;
 
