--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -56,7 +56,7 @@
         control::message_type::peer_state;
 
     std::string vm;
-    bool serving = false;                     ///< Takes new callers.
+    bool serving = false;                   ///< Takes new callers.
     std::vector<organisation_usage> usages; ///< Those with requests lately.
 
     template <class Archive>
--- a/include/siskinflow/gateway/placement.hpp
+++ b/include/siskinflow/gateway/placement.hpp
@@ -43,11 +43,11 @@
     distance where = distance::same_domain;
     object_state object = object_state::cold;
     double warm_chance = 0; ///< That it does warm work, from 0 to 1.
-    unsigned rank = 0;   ///< Position in the order of the object's targets.
-    double load = 0;     ///< Requests that run or wait there, of all VMs.
-    unsigned slots = 1;  ///< Requests that run at once.
-    double slowness = 1; ///< Measured work time over that of its service.
-    bool untried = false; ///< This VM has not sent it anything yet.
+    unsigned rank = 0;      ///< Position in the order of the object's targets.
+    double load = 0;        ///< Requests that run or wait there, of all VMs.
+    unsigned slots = 1;     ///< Requests that run at once.
+    double slowness = 1;    ///< Measured work time over that of its service.
+    bool untried = false;   ///< This VM has not sent it anything yet.
 };
 
 /// @brief Work time of one request of a route at an idle target.
@@ -77,8 +77,9 @@
     duration rank_step = std::chrono::milliseconds(20);
     /// Cost of an answer that is expected after the objective.
     duration late = std::chrono::milliseconds(1500);
-    /// Advantage of an untried target in the VM's failure domain: without its first
-    /// requests a new target holds no object, and would never be the best.
+    /// Advantage of an untried target in the VM's failure domain: without its
+    /// first requests a new target holds no object, and would never be the
+    /// best.
     duration first_request = std::chrono::milliseconds(2500);
 };
 
@@ -97,8 +98,8 @@
                              const placement_costs& costs);
 
 /// @brief Chooses the candidate of the lowest cost that may well answer before
-/// the deadline. A request that would be late queues at no target: the slot goes
-/// to one that can be on time.
+/// the deadline. A request that would be late queues at no target: the slot
+/// goes to one that can be on time.
 /// @return nothing if no candidate has room for it now
 std::optional<placement> place(std::span<const candidate> candidates,
                                const work_time& work, const time_left& left,
--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -24,7 +24,7 @@
     std::optional<std::uint64_t> object;
     std::function<bool(std::string_view region)> region_allowed;
     std::span<const std::string> excluded; ///< Ids of targets already tried.
-    bool leaves_region = false; ///< Other regions go first.
+    bool leaves_region = false;            ///< Other regions go first.
     work_time work;
     time_left left;
 };
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -48,8 +48,7 @@
     /// that come close together arrive with one call
     /// @param listener told of changes; must outlive the mirror
     store_mirror(lease_store& source, timer_queue& timers, const clock& time,
-                 std::string prefix, duration pause,
-                 mirror_listener& listener);
+                 std::string prefix, duration pause, mirror_listener& listener);
     ~store_mirror();
     store_mirror(const store_mirror&) = delete;
     store_mirror& operator=(const store_mirror&) = delete;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -314,11 +314,10 @@
 
 void gateway_node::impl::tell_peers()
 {
-    next_message =
-        state.now() +
-        std::max(least_peer_interval,
-                 peer_interval_per_vm *
-                     static_cast<std::int64_t>(state.peers.size()));
+    next_message = state.now() +
+                   std::max(least_peer_interval,
+                            peer_interval_per_vm *
+                                static_cast<std::int64_t>(state.peers.size()));
     state.peers.expire(state.now());
     state.update_shares();
     peer_state message;
@@ -332,9 +331,9 @@
         if (report.admitted != before ||
             report.demand_per_s > least_demand_per_s)
         {
-            message.usages.push_back(
-                {organisation_number(organisation), report.admitted,
-                 static_cast<float>(report.demand_per_s)});
+            message.usages.push_back({organisation_number(organisation),
+                                      report.admitted,
+                                      static_cast<float>(report.demand_per_s)});
         }
         before = report.admitted;
     }
@@ -352,8 +351,7 @@
     {
         const std::size_t count =
             std::min(usages_per_datagram, usages.size() - sent);
-        const auto first =
-            usages.begin() + static_cast<std::ptrdiff_t>(sent);
+        const auto first = usages.begin() + static_cast<std::ptrdiff_t>(sent);
         message.usages.assign(first,
                               first + static_cast<std::ptrdiff_t>(count));
         const std::string encoded = control::encode(incarnation, message);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -38,7 +38,8 @@
                                    const std::string& service)
 {
     const std::string name = route.name + '\n' + service;
-    return work_.try_emplace(name, route.objective, route.timeout).first->second;
+    return work_.try_emplace(name, route.objective, route.timeout)
+        .first->second;
 }
 
 retry_budget& gateway_state::retries(const std::string& service)
@@ -251,11 +252,13 @@
 /// Callers are taken to be spread evenly over the failure domains.
 double gateway_state::caller_part() const
 {
-    const auto in_region = std::count_if(
-        settings.regions.begin(), settings.regions.end(),
-        [&](const auto& entry) { return entry.second == settings.self.region; });
+    const auto in_region =
+        std::count_if(settings.regions.begin(), settings.regions.end(),
+                      [&](const auto& entry)
+                      { return entry.second == settings.self.region; });
     return static_cast<double>(in_region) /
-           static_cast<double>(std::max<std::size_t>(1, settings.regions.size()));
+           static_cast<double>(
+               std::max<std::size_t>(1, settings.regions.size()));
 }
 
 region_split& gateway_state::split(const std::string& service)
--- a/src/gateway/rate_share.cpp
+++ b/src/gateway/rate_share.cpp
@@ -102,9 +102,9 @@
     {
         started_ = true;
         all_ = bucket(rate, burst, burst, now);
-        paced_ = bucket(rate / static_cast<double>(std::max<std::size_t>(
-                                   vms, 1)),
-                        paced_burst, paced_burst, now);
+        paced_ =
+            bucket(rate / static_cast<double>(std::max<std::size_t>(vms, 1)),
+                   paced_burst, paced_burst, now);
     }
     all_.resize(rate, burst, now);
     refresh(now);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -499,8 +499,7 @@
     }
     work_estimate& work = state_.work(*route_, service_);
     warm_chance& chance = state_.targets.locations(service_).chance();
-    const double expected =
-        chance.of(placement_.object, placement_.rank);
+    const double expected = chance.of(placement_.object, placement_.rank);
     const bool warm = work.observe(taken, expected > 0.5);
     chance.observe(placement_.object, placement_.rank, warm);
     const work_time usual = work.current();
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -74,9 +74,8 @@
 double target_chooser::expected_objects(std::string_view service) const
 {
     const std::string name(service);
-    return std::max(
-        static_cast<double>(targets_.locations(name).objects()),
-        targets_.usual_targets(name) * objects_expected_per_target);
+    return std::max(static_cast<double>(targets_.locations(name).objects()),
+                    targets_.usual_targets(name) * objects_expected_per_target);
 }
 
 void target_chooser::order(std::vector<ranked>& found,
@@ -144,14 +143,15 @@
                             : i == 0 ? object_state::likely
                                      : object_state::cold;
         }
-        option.warm_chance =
-            locations.chance().of(option.object, option.rank);
+        option.warm_chance = locations.chance().of(option.object, option.rank);
         out.push_back(option);
     }
     if (side_in_use)
     {
-        std::erase_if(out, [&](const candidate& option)
-                      { return is_away(option.where) != request.leaves_region; });
+        std::erase_if(out,
+                      [&](const candidate& option) {
+                          return is_away(option.where) != request.leaves_region;
+                      });
     }
     return out;
 }
--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -1,4 +1,5 @@
 #include "answer_head.hpp"
+
 #include <siskinflow/net/http_types.hpp>
 
 #include <algorithm>
@@ -50,7 +51,8 @@
         {
             return true;
         }
-        const bool fits = is_length(value) && (length.empty() || length == value);
+        const bool fits =
+            is_length(value) && (length.empty() || length == value);
         length = value;
         return fits;
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -196,7 +196,7 @@
     h2o_socket_cb native_write_ = nullptr; ///< h2o's own, while watched.
     h2o_socket_cb native_read_ = nullptr;
     bool ends_with_connection_ = false; ///< The body has no other end.
-    const char* read_error_ = nullptr; ///< Of the last read; null: none.
+    const char* read_error_ = nullptr;  ///< Of the last read; null: none.
     bool sent_ = false;
     bool got_head_ = false;
     bool in_callback_ = false;
@@ -420,9 +420,8 @@
                request_.silence_limit / (probes + 1))
                .count()));
     const int on = 1;
-    const int options[][2] = {{TCP_KEEPIDLE, step},
-                              {TCP_KEEPINTVL, step},
-                              {TCP_KEEPCNT, probes}};
+    const int options[][2] = {
+        {TCP_KEEPIDLE, step}, {TCP_KEEPINTVL, step}, {TCP_KEEPCNT, probes}};
     (void)::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     for (const auto& [option, value] : options)
     {
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -55,15 +55,15 @@
     void await()
     {
         const std::uint64_t number = ++watch;
-        source.await_changes(prefix, revision, watch_wait,
-                             [self = shared_from_this(), number](
-                                 result<store_page> page)
-                             {
-                                 if (number == self->watch)
-                                 {
-                                     self->on_changes(std::move(page));
-                                 }
-                             });
+        source.await_changes(
+            prefix, revision, watch_wait,
+            [self = shared_from_this(), number](result<store_page> page)
+            {
+                if (number == self->watch)
+                {
+                    self->on_changes(std::move(page));
+                }
+            });
     }
 
     void on_list(result<store_page> page)
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -49,9 +49,9 @@
 constexpr std::string_view map_failed_fields[] = {"revision", "reason"};
 
 constexpr std::string_view served_fields[] = {
-    "request", "route",    "organisation", "service",     "target",
-    "object",  "rank", "attempts", "waited_ms",    "total_ms",    "status",
-    "policy",  "load",     "expected_ms",  "objective_ms"};
+    "request", "route",  "organisation", "service",     "target",
+    "object",  "rank",   "attempts",     "waited_ms",   "total_ms",
+    "status",  "policy", "load",         "expected_ms", "objective_ms"};
 constexpr std::string_view not_served_fields[] = {
     "request",        "route",    "organisation",  "service",  "reason",
     "status",         "attempts", "waited_ms",     "total_ms", "steps",
--- a/standins/lib/kv_service.cpp
+++ b/standins/lib/kv_service.cpp
@@ -1,4 +1,5 @@
 #include "kv_service.hpp"
+
 #include <siskinflow/config/duration_text.hpp>
 #include <siskinflow/store/base64.hpp>
 
@@ -188,8 +189,7 @@
 {
     std::erase_if(watchers_,
                   [this](const watcher& waiting) {
-                      return waiting.exchange->done() ||
-                             answer_watch(waiting);
+                      return waiting.exchange->done() || answer_watch(waiting);
                   });
 }
 
@@ -362,9 +362,9 @@
 
 std::size_t kv_service::count(const std::string& prefix) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(items_.begin(), items_.end(), [&](const auto& entry)
-                      { return entry.first.starts_with(prefix); }));
+    return static_cast<std::size_t>(std::count_if(
+        items_.begin(), items_.end(),
+        [&](const auto& entry) { return entry.first.starts_with(prefix); }));
 }
 
 } // namespace standin
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -53,15 +53,16 @@
     }
     if (running_ >= options_.slots)
     {
-        exchange->respond({503,
-                           {{"siskinflow-request-id", id},
-                            {"siskinflow-not-executed", "1"}},
-                           {}});
+        exchange->respond(
+            {503,
+             {{"siskinflow-request-id", id}, {"siskinflow-not-executed", "1"}},
+             {}});
         return;
     }
-    const bool known_caller = headers.contains("siskinflow-tenant-name") &&
-                              !headers.contains("authorization") &&
-                              headers.contains("siskinflow-request-deadline-ms");
+    const bool known_caller =
+        headers.contains("siskinflow-tenant-name") &&
+        !headers.contains("authorization") &&
+        headers.contains("siskinflow-request-deadline-ms");
     faults_ += known_caller ? 0 : 1;
     ++runs_[id];
     ++running_;
@@ -74,12 +75,11 @@
     const std::string body =
         "answer of " + options_.id + " to " + exchange->request().path;
     net::http_headers headers{
-        {"siskinflow-request-id",
-         std::string(
-             exchange->request().headers.value("siskinflow-request-id"))},
+        {"siskinflow-request-id", std::string(exchange->request().headers.value(
+                                      "siskinflow-request-id"))},
         {"siskinflow-response-signature", "signed"},
-        {"siskinflow-server-load", std::to_string(running_) + ",0," +
-                                       std::to_string(options_.slots)}};
+        {"siskinflow-server-load",
+         std::to_string(running_) + ",0," + std::to_string(options_.slots)}};
     if (next_is_cut())
     {
         exchange->start(200, headers, body.size());
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -56,8 +56,10 @@
 
 json service(const std::string& name)
 {
-    return {{"name", name},         {"health-path", "/health"},
-            {"max-connections", 100}, {"warmup", "0s"},
+    return {{"name", name},
+            {"health-path", "/health"},
+            {"max-connections", 100},
+            {"warmup", "0s"},
             {"warmup-per-s", 0}};
 }
 
@@ -71,10 +73,10 @@
 gateway_world::gateway_world(std::size_t vms)
     : store_(std::make_unique<standin::kv_service>(time_))
 {
-    auto server = net::http_server::listen(
-        http_.loop(), {"127.0.0.1", 0}, {},
-        [this](const net::exchange_ptr& exchange)
-        { store_->handle(exchange); });
+    auto server =
+        net::http_server::listen(http_.loop(), {"127.0.0.1", 0}, {},
+                                 [this](const net::exchange_ptr& exchange)
+                                 { store_->handle(exchange); });
     store_server_ = std::move(server).value();
     store_port_ = store_server_->port();
     ticking_ = http_.loop().every(tick, [this] { store_->tick(); });
@@ -163,8 +165,8 @@
                           standin::platform_target_options options)
 {
     const std::string id = options.id;
-    auto added = standin::platform_target::start(http_.loop(),
-                                                 std::move(options));
+    auto added =
+        standin::platform_target::start(http_.loop(), std::move(options));
     services_[id] = service;
     standin::platform_target& out = *added;
     targets_[id] = std::move(added);
@@ -175,17 +177,17 @@
 void gateway_world::register_target(const std::string& id,
                                     const std::string& state)
 {
-    store_->put("servers/" + id, json{{"service", services_.at(id)},
-                                      {"address",
-                                       loopback(targets_.at(id)->port())},
-                                      {"zone", "zone-0"},
-                                      {"version", "v1"},
-                                      {"max-concurrency", 6},
-                                      {"state", state},
-                                      {"warmup-left", "0ms"},
-                                      {"sequence", 1},
-                                      {"born", 1000}}
-                                     .dump());
+    store_->put("servers/" + id,
+                json{{"service", services_.at(id)},
+                     {"address", loopback(targets_.at(id)->port())},
+                     {"zone", "zone-0"},
+                     {"version", "v1"},
+                     {"max-concurrency", 6},
+                     {"state", state},
+                     {"warmup-left", "0ms"},
+                     {"sequence", 1},
+                     {"born", 1000}}
+                    .dump());
 }
 
 std::shared_ptr<net::http_call>
@@ -199,9 +201,9 @@
     out.timeout = request.patience + 500ms;
     out.fresh_connection = true;
     out.headers.add("host", "site.example");
-    const std::string id =
-        request.id.empty() ? "request-" + std::to_string(++last_request_)
-                           : request.id;
+    const std::string id = request.id.empty()
+                               ? "request-" + std::to_string(++last_request_)
+                               : request.id;
     out.headers.add("siskinflow-request-id", id);
     out.headers.add("siskinflow-affinity-key", request.object);
     out.headers.add("siskinflow-request-deadline-ms",
@@ -210,16 +212,15 @@
     {
         out.headers.add("authorization", "Bearer " + request.key);
     }
-    return net::fetch(http_.client(), std::move(out), 1 << 20,
-                      std::move(done));
+    return net::fetch(http_.client(), std::move(out), 1 << 20, std::move(done));
 }
 
 net::fetch_result gateway_world::call(std::size_t vm,
                                       const caller_request& request)
 {
     std::optional<net::fetch_result> got;
-    const auto running = send(vm, request, [&](net::fetch_result value)
-                              { got = std::move(value); });
+    const auto running = send(
+        vm, request, [&](net::fetch_result value) { got = std::move(value); });
     until([&] { return got.has_value(); }, 10s);
     return got.value_or(net::fetch_result{});
 }
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -74,12 +74,9 @@
                 world.run_for(1s);
                 EXPECT(status(world.call(0)) == 200);
             });
-    section("the directory names both VMs",
-            [&]
-            {
-                EXPECT(world.until([&]
-                                   { return world.lookup(0).size() == 2; }));
-            });
+    section(
+        "the directory names both VMs", [&]
+        { EXPECT(world.until([&] { return world.lookup(0).size() == 2; })); });
 }
 
 // Guards against a request to a target that has left or drains, and against a
@@ -152,9 +149,8 @@
         EXPECT(world.lookup(1).size() == 2);
         world.store().set_outage(standin::kv_outage::none);
         world.configure({{"priority", 2}});
-        const std::string version = outage == standin::kv_outage::refuse
-                                        ? "version=2 "
-                                        : "version=3 ";
+        const std::string version =
+            outage == standin::kv_outage::refuse ? "version=2 " : "version=3 ";
         EXPECT(world.until(
             [&]
             {
@@ -178,18 +174,18 @@
     order.path = "/orders/1";
     order.method = "POST";
     std::optional<net::fetch_result> got;
-    const auto running = world.send(0, order, [&](net::fetch_result value)
-                                    { got = std::move(value); });
+    const auto running = world.send(
+        0, order, [&](net::fetch_result value) { got = std::move(value); });
     world.run_for(300ms);
     world.vm(0).signal(SIGTERM);
-    section("it is not ready at once, and lookups leave it out",
-            [&]
-            {
-                EXPECT(world.until([&] { return world.readiness(0) == 503; },
-                                   1s));
-                EXPECT(world.until(
-                    [&] { return world.lookup(1).size() == 1; }, 2s));
-            });
+    section(
+        "it is not ready at once, and lookups leave it out",
+        [&]
+        {
+            EXPECT(world.until([&] { return world.readiness(0) == 503; }, 1s));
+            EXPECT(
+                world.until([&] { return world.lookup(1).size() == 1; }, 2s));
+        });
     section("the order in progress gets its answer",
             [&]
             {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -211,8 +211,7 @@
                     if (ms % 160 == 0)
                     {
                         const auto vm = static_cast<std::size_t>(ms / 160 * 7);
-                        refused +=
-                            vms.shares[vm % 30].take(time.now()) ? 0 : 1;
+                        refused += vms.shares[vm % 30].take(time.now()) ? 0 : 1;
                     }
                     time.advance(step);
                 }
@@ -227,8 +226,7 @@
                     {
                         manual_clock time;
                         sharing_vms vms(7, rate, burst, time.now());
-                        const auto heavy =
-                            *rc::gen::inRange<std::size_t>(0, 7);
+                        const auto heavy = *rc::gen::inRange<std::size_t>(0, 7);
                         const auto gap = *rc::gen::inRange(1, 6);
                         std::vector<int> passed;
                         for (int ms = 0; ms < 12000; ++ms)
@@ -349,32 +347,32 @@
                 split.start({0, 330, 0, 400}, 1.0 / 3, now);
                 EXPECT(split.part() == 0);
             });
-    section("no more than 15% in 2 s under any load",
-            [&]
-            {
-                cr_assert(rc::check(
-                    [&]
+    section(
+        "no more than 15% in 2 s under any load",
+        [&]
+        {
+            cr_assert(rc::check(
+                [&]
+                {
+                    region_split split;
+                    time_point at = now;
+                    split.start({0, 72, 0, 660}, 1.0 / 3, at);
+                    std::vector<double> parts;
+                    for (int i = 0; i < 60; ++i)
                     {
-                        region_split split;
-                        time_point at = now;
-                        split.start({0, 72, 0, 660}, 1.0 / 3, at);
-                        std::vector<double> parts;
-                        for (int i = 0; i < 60; ++i)
+                        parts.push_back(split.part());
+                        at += 200ms;
+                        const auto home = *rc::gen::inRange(0, 200);
+                        const auto away = *rc::gen::inRange(0, 1500);
+                        split.update({double(home), 72, double(away), 660}, at);
+                        if (i >= 10)
                         {
-                            parts.push_back(split.part());
-                            at += 200ms;
-                            const auto home = *rc::gen::inRange(0, 200);
-                            const auto away = *rc::gen::inRange(0, 1500);
-                            split.update({double(home), 72, double(away), 660},
-                                         at);
-                            if (i >= 10)
-                            {
-                                RC_ASSERT(std::abs(split.part() -
-                                                   parts[i - 10 + 1]) <= 0.15);
-                            }
+                            RC_ASSERT(std::abs(split.part() -
+                                               parts[i - 10 + 1]) <= 0.15);
                         }
-                    }));
-            });
+                    }
+                }));
+        });
     section("slots lost at once are followed at once",
             [&]
             {
--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -87,8 +87,9 @@
     request.peer = {"127.0.0.1", server.port()};
     request.timeout = 2s;
     std::optional<fetch_result> got;
-    const auto call = fetch(client, request, 1 << 20, [&](fetch_result value)
-                            { got = std::move(value); });
+    const auto call =
+        fetch(client, request, 1 << 20,
+              [&](fetch_result value) { got = std::move(value); });
     while (!got)
     {
         loop.run_once(5ms);
@@ -110,16 +111,17 @@
     section("a length that is no number",
             [&]
             {
-                EXPECT(outcome("HTTP/1.1 200 OK\r\ncontent-length: 1x\r\n\r\nab",
-                               ending::close) == call_outcome::broken);
+                EXPECT(
+                    outcome("HTTP/1.1 200 OK\r\ncontent-length: 1x\r\n\r\nab",
+                            ending::close) == call_outcome::broken);
             });
-    section("an unknown encoding",
-            [&]
-            {
-                EXPECT(outcome(
-                           "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
+    section(
+        "an unknown encoding",
+        [&]
+        {
+            EXPECT(outcome("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
                            ending::close) == call_outcome::broken);
-            });
+        });
     section("bytes that are no answer",
             [&]
             {
