--- a/src/store/lease_keeper.cpp
+++ b/src/store/lease_keeper.cpp
@@ -39,7 +39,7 @@
     {
         source.grant_lease(
             ttl, call_timeout,
-            [self = shared_from_this()](result<store_lease> granted)
+            [self = shared_from_this()](const result<store_lease>& granted)
             { self->on_granted(granted); });
     }
 
