--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -94,12 +94,12 @@
 
 std::optional<refusal_reason> request_flow::admit()
 {
+    const net::http_request& request = exchange_->request();
+    terms_ = state_.speech.read_request(request);
     if (policy_ == nullptr)
     {
         return refusal_reason::no_configuration;
     }
-    const net::http_request& request = exchange_->request();
-    terms_ = state_.speech.read_request(request);
     if (terms_.id.empty())
     {
         return refusal_reason::bad_request;
--- a/tests/unit/config_settings_test.cpp
+++ b/tests/unit/config_settings_test.cpp
@@ -1,11 +1,13 @@
 #include "story.hpp"
 #include <siskinflow/config/settings.hpp>
+#include <siskinflow/gateway/gateway_settings.hpp>
 
 #include <gflags/gflags.h>
 
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 
 using namespace siskinflow;
 using story::section;
@@ -121,27 +123,45 @@
         "--certificate_file: file 'no/such/file' can't be read"));
 }
 
-// Guards against a page of settings that differs from the code.
-Test(config_settings, the_page_lists_every_flag_with_its_default)
+namespace
+{
+
+/// The default as a page shows it; gflags prints 17 digits of a number.
+std::string default_of(const gflags::CommandLineFlagInfo& info)
 {
-    std::ifstream in(std::string(SISKINFLOW_SOURCE_DIR) + "/docs/settings.md");
+    if (info.default_value.empty())
+    {
+        return "none";
+    }
+    std::ostringstream out;
+    if (info.type == "double")
+    {
+        out << '`' << std::stod(info.default_value) << '`';
+        return out.str();
+    }
+    return "`" + info.default_value + "`";
+}
+
+/// Checks that a page lists each flag with its default, and no other.
+void check_page(const std::string& file, const std::vector<std::string>& names,
+                const std::string& help)
+{
+    std::ifstream in(std::string(SISKINFLOW_SOURCE_DIR) + "/docs/" + file);
     const std::string page{std::istreambuf_iterator<char>(in),
                            std::istreambuf_iterator<char>()};
-    for (const auto& name : setting_names())
+    for (const auto& name : names)
     {
-        section(
-            name,
-            [&]
-            {
-                const auto info =
-                    gflags::GetCommandLineFlagInfoOrDie(name.c_str());
-                const std::string shown = info.default_value.empty()
-                                              ? "none"
-                                              : "`" + info.default_value + "`";
-                EXPECT(contains(page, "| `--" + name + "` | " + shown + " |"));
-                EXPECT(contains(settings_help(), "--" + name + " ("));
-                EXPECT(contains(settings_help(), environment_name(name)));
-            });
+        section(name,
+                [&]
+                {
+                    const auto info =
+                        gflags::GetCommandLineFlagInfoOrDie(name.c_str());
+                    const std::string shown = default_of(info);
+                    EXPECT(
+                        contains(page, "| `--" + name + "` | " + shown + " |"));
+                    EXPECT(contains(help, "--" + name + " ("));
+                    EXPECT(contains(help, environment_name(name)));
+                });
     }
     const std::string row = "| `--";
     std::size_t rows = 0;
@@ -150,5 +170,46 @@
     {
         ++rows;
     }
-    EXPECT(rows == setting_names().size());
+    EXPECT(rows == names.size());
+}
+
+} // namespace
+
+// Guards against a page of settings that differs from the code.
+Test(config_settings, the_pages_list_every_flag_with_its_default)
+{
+    section("entry daemon", []
+            { check_page("settings.md", setting_names(), settings_help()); });
+    section("gateway daemon",
+            []
+            {
+                check_page("gateway-settings.md",
+                           gateway::gateway_setting_names(),
+                           gateway::gateway_settings_help());
+            });
+}
+
+// Guards against a gateway that starts with a setting it can't use.
+Test(config_settings, the_gateway_names_the_bad_flag)
+{
+    const auto fault = [](std::vector<const char*> extra)
+    {
+        std::vector<const char*> line = {"siskinflow_gateway",
+                                         "--vm_name=a",
+                                         "--region=north",
+                                         "--failure_domain=z1",
+                                         "--store=127.0.0.1:1",
+                                         "--http_listen=127.0.0.1:2",
+                                         "--control_listen=127.0.0.1:3"};
+        line.insert(line.end(), extra.begin(), extra.end());
+        const auto loaded = gateway::load_gateway_settings(
+            static_cast<int>(line.size()), line.data());
+        return loaded ? std::string() : loaded.error().message;
+    };
+    EXPECT(fault({}).empty());
+    EXPECT(contains(fault({"--stop_grace=6"}), "--stop_grace: '6'"));
+    EXPECT(contains(fault({"--stop_grace=6s", "--domain_regions=z1"}),
+                    "--domain_regions: 'z1'"));
+    EXPECT(contains(fault({"--domain_regions=z1=north", "--retry_ratio=2"}),
+                    "--retry_ratio"));
 }
