Soak the gateway with seeded faults; take test ports below the ephemeral range

Ports that were free when drawn are given to outgoing connections before a listener opens them. Each run kills, stops, pauses and restarts VMs, silences and refuses at the store, drops its history and cuts answers, and checks runs against answers.

--- a/tests/lib/processes.cpp
+++ b/tests/lib/processes.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <netinet/in.h>
 #include <optional>
+#include <random>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -165,6 +166,11 @@
 
 std::vector<std::uint16_t> free_ports(std::size_t count)
 {
+    // Below the ports that the kernel gives to outgoing connections: one of
+    // those is taken by any call between this function and a listener.
+    constexpr std::uint16_t first_port = 10000;
+    constexpr std::uint16_t ports_tried = 20000;
+    static std::mt19937 random{std::random_device{}()};
     std::vector<std::uint16_t> ports;
     std::vector<int> sockets;
     while (ports.size() < count)
@@ -173,10 +179,14 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        ::bind(descriptor, generic, length);
-        ::getsockname(descriptor, generic, &length);
+        address.sin_port = htons(
+            static_cast<std::uint16_t>(first_port + random() % ports_tried));
+        if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                   sizeof(address)) != 0)
+        {
+            ::close(descriptor);
+            continue;
+        }
         ports.push_back(ntohs(address.sin_port));
         sockets.push_back(descriptor);
     }
--- /dev/null
+++ b/tests/soak/gateway_soak.cpp
@@ -0,0 +1,333 @@
+// Randomized soak of the gateway: real processes on loopback under signals,
+// restarts, store outages and target faults in series that overlap. It checks
+// what callers and targets see and ends with 1 at the first broken promise.
+#include "gateway_world.hpp"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <set>
+
+DEFINE_uint64(seed, 1, "Seed of the faults");
+DEFINE_uint32(seconds, 20, "Time with faults, in seconds (1-3600)");
+DEFINE_uint32(vms, 3, "Gateway processes (1-30)");
+
+using namespace siskinflow;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds request_gap{15};
+constexpr std::chrono::milliseconds fault_gap{700};
+constexpr std::chrono::milliseconds longest_fault{2500};
+/// After the last fault: the bound of 15 s for service as before.
+constexpr std::chrono::milliseconds recovery_limit{15000};
+constexpr int recovered_in_a_row = 30;
+
+/// Counts promises kept and broken, from what callers and targets see.
+class promise_checker
+{
+public:
+    explicit promise_checker(gateway_world& world) : world_(world) {}
+
+    void check(const caller_request& request, const net::fetch_result& got)
+    {
+        const bool answered = got.outcome == net::call_outcome::complete;
+        const int status = answered ? got.response.status : 0;
+        const int runs = world_.runs(request.id);
+        const bool order = request.method == "POST";
+        ++statuses_[status];
+        require(!order || runs <= 1, request, "an order ran twice");
+        const bool promise = status == 503 || status == 429 || status == 408;
+        if (promise)
+        {
+            refused_.insert(request.id);
+            require(!order || runs == 0, request,
+                    "refused as not run although it ran");
+        }
+        if (status == 200)
+        {
+            require(got.response.body.ends_with(" to " + request.path) &&
+                        got.response.headers.contains(
+                            "siskinflow-response-signature"),
+                    request, "an answer that is not the target's own");
+            require(runs >= 1, request, "an answer without a run");
+        }
+        require(status != 401 && status != 403 && status != 404, request,
+                "denied although the policy allows it");
+    }
+
+    /// A refused order must not run later either.
+    void check_late_runs()
+    {
+        for (const std::string& id : refused_)
+        {
+            caller_request request;
+            request.id = id;
+            require(!id.starts_with("order") || world_.runs(id) == 0, request,
+                    "ran after it had been refused");
+        }
+    }
+
+    void require(bool kept, const caller_request& request, const char* what)
+    {
+        if (!kept)
+        {
+            ++broken_;
+            std::cout << "BROKEN " << request.id << ": " << what << std::endl;
+        }
+    }
+
+    int broken() const
+    {
+        return broken_;
+    }
+
+    const std::map<int, int>& statuses() const
+    {
+        return statuses_;
+    }
+
+private:
+    gateway_world& world_;
+    std::map<int, int> statuses_;
+    std::set<std::string> refused_;
+    int broken_ = 0;
+};
+
+/// Sends lookups and orders without pause, to VMs that take callers.
+class caller_load
+{
+public:
+    caller_load(gateway_world& world, promise_checker& promises,
+                std::mt19937_64& random)
+        : world_(world), promises_(promises), random_(random)
+    {
+    }
+
+    void start()
+    {
+        timer_ = world_.caller().loop().every(request_gap, [this] { send(); });
+    }
+
+    void stop()
+    {
+        timer_.reset();
+    }
+
+    bool idle() const
+    {
+        return running_.empty();
+    }
+
+    int served_in_a_row() const
+    {
+        return in_a_row_;
+    }
+
+private:
+    void send()
+    {
+        const bool order = random_() % 3 == 0;
+        caller_request request;
+        request.id = (order ? "order-" : "look-") + std::to_string(++number_);
+        request.path = order ? "/orders/1" : "/maps/1";
+        request.method = order ? "POST" : "GET";
+        request.object = std::to_string(random_() % 20);
+        request.patience = 2000ms;
+        const std::size_t vm = random_() % FLAGS_vms;
+        running_[request.id] = world_.send(
+            vm, request,
+            [this, request](const net::fetch_result& got)
+            {
+                promises_.check(request, got);
+                const bool served =
+                    got.outcome == net::call_outcome::complete &&
+                    got.response.status == 200;
+                in_a_row_ = served ? in_a_row_ + 1 : 0;
+                world_.caller().loop().post([this, id = request.id]
+                                            { running_.erase(id); });
+            });
+    }
+
+    gateway_world& world_;
+    promise_checker& promises_;
+    std::mt19937_64& random_;
+    std::shared_ptr<void> timer_;
+    std::map<std::string, std::shared_ptr<net::http_call>> running_;
+    std::uint64_t number_ = 0;
+    int in_a_row_ = 0;
+};
+
+/// Draws faults; each one ends by itself and may overlap with others.
+class fault_source
+{
+public:
+    fault_source(gateway_world& world,
+                 std::vector<standin::platform_target*> targets,
+                 std::mt19937_64& random)
+        : world_(world), targets_(std::move(targets)), random_(random)
+    {
+    }
+
+    void strike()
+    {
+        const std::size_t vm = random_() % FLAGS_vms;
+        const std::chrono::milliseconds time(300 +
+                                             random_() % longest_fault.count());
+        switch (random_() % 8)
+        {
+        case 0:
+            restart(vm, SIGKILL, time);
+            break;
+        case 1:
+            restart(vm, SIGTERM, time);
+            break;
+        case 2:
+            pause(vm, time);
+            break;
+        case 3:
+            outage(standin::kv_outage::refuse, time);
+            break;
+        case 4:
+            outage(standin::kv_outage::silent, time);
+            break;
+        case 5:
+            say("history dropped");
+            world_.store().compact();
+            break;
+        case 6:
+            cut_answers(random_() % targets_.size(), time);
+            break;
+        default:
+            say("new configuration");
+            world_.configure();
+            break;
+        }
+    }
+
+private:
+    void say(const std::string& what) const
+    {
+        std::cout << "fault: " << what << std::endl;
+    }
+
+    void later(std::chrono::milliseconds time, std::function<void()> then)
+    {
+        world_.caller().loop().after(time, std::move(then));
+    }
+
+    void restart(std::size_t vm, int number, std::chrono::milliseconds time)
+    {
+        say("vm" + std::to_string(vm) +
+            (number == SIGKILL ? " killed" : " told to stop"));
+        world_.vm(vm).signal(SIGCONT);
+        world_.vm(vm).signal(number);
+        // A graceful stop takes up to the grace time of 6 s.
+        const auto rest = number == SIGKILL ? time : 6500ms;
+        if (restarting_.insert(vm).second)
+        {
+            later(rest,
+                  [this, vm]
+                  {
+                      restarting_.erase(vm);
+                      world_.start(vm);
+                  });
+        }
+    }
+
+    void pause(std::size_t vm, std::chrono::milliseconds time)
+    {
+        say("vm" + std::to_string(vm) + " paused");
+        world_.vm(vm).signal(SIGSTOP);
+        later(time, [this, vm] { world_.vm(vm).signal(SIGCONT); });
+    }
+
+    void outage(standin::kv_outage kind, std::chrono::milliseconds time)
+    {
+        say(kind == standin::kv_outage::refuse ? "store refuses"
+                                               : "store silent");
+        world_.store().set_outage(kind);
+        later(time,
+              [this] { world_.store().set_outage(standin::kv_outage::none); });
+    }
+
+    void cut_answers(std::size_t target, std::chrono::milliseconds time)
+    {
+        constexpr double cut_part = 0.3;
+        say("a target cuts answers");
+        targets_[target]->set_cut_part(cut_part);
+        later(time, [this, target] { targets_[target]->set_cut_part(0); });
+    }
+
+    gateway_world& world_;
+    std::vector<standin::platform_target*> targets_;
+    std::mt19937_64& random_;
+    std::set<std::size_t> restarting_;
+};
+
+std::vector<standin::platform_target*> add_targets(gateway_world& world)
+{
+    std::vector<standin::platform_target*> out;
+    for (const char* service : {"maps", "orders"})
+    {
+        for (int i = 0; i < 4; ++i)
+        {
+            standin::platform_target_options options;
+            options.id = std::string(service) + "-" + std::to_string(i);
+            out.push_back(&world.add_target(service, options));
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::mt19937_64 random(FLAGS_seed);
+    gateway_world world(FLAGS_vms);
+    const auto targets = add_targets(world);
+    world.configure();
+    if (!world.start_all())
+    {
+        std::cout << "BROKEN the gateways are not ready" << std::endl;
+        for (std::size_t vm = 0; vm < FLAGS_vms; ++vm)
+        {
+            std::cout << world.log(vm) << std::endl;
+        }
+        return 1;
+    }
+    promise_checker promises(world);
+    caller_load load(world, promises, random);
+    fault_source faults(world, targets, random);
+    load.start();
+    auto striking =
+        world.caller().loop().every(fault_gap, [&faults] { faults.strike(); });
+    world.run_for(std::chrono::seconds(FLAGS_seconds));
+    striking.reset();
+    world.run_for(7s); // Faults in progress end; stopped VMs start again.
+    promises.require(
+        world.until([&] { return load.served_in_a_row() > recovered_in_a_row; },
+                    recovery_limit),
+        {}, "no service after the last fault");
+    load.stop();
+    world.until([&] { return load.idle(); }, 5s);
+    promises.check_late_runs();
+    for (const standin::platform_target* target : targets)
+    {
+        promises.require(target->faults() == 0, {},
+                         "a target saw a key or no organisation");
+    }
+    std::cout << "seed " << FLAGS_seed;
+    for (const auto& [status, count] : promises.statuses())
+    {
+        std::cout << ", " << status << ": " << count;
+    }
+    std::cout << "; broken: " << promises.broken() << std::endl;
+    return promises.broken() == 0 ? 0 : 1;
+}
