--- a/src/config/flag_checker.hpp
+++ b/src/config/flag_checker.hpp
@@ -5,6 +5,7 @@
 #include <siskinflow/config/duration_text.hpp>
 #include <siskinflow/config/flags.hpp>
 #include <siskinflow/net/endpoint.hpp>
+#include <siskinflow/telemetry/log.hpp>
 
 #include <algorithm>
 #include <cctype>
@@ -147,4 +148,12 @@
     std::string fault_;
 };
 
+/// @brief Checks the flags `log_level` and `log_format`.
+void check_log_flags(flag_checker& check, log_level& level, log_format& format);
+
+/// @brief Reads the flags of a program that takes no other words.
+/// @return whether --help was given, or `errc::invalid_argument`
+result<bool> read_flags_only(int argc, const char* const* argv,
+                             const std::vector<std::string>& names);
+
 } // namespace siskinflow
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -119,16 +119,34 @@
         check.number("lookup_lifetime_s", FLAGS_lookup_lifetime_s, 1, 300));
 }
 
-void check_log(flag_checker& check, settings& out)
+} // namespace
+
+void check_log_flags(flag_checker& check, log_level& level, log_format& format)
 {
-    out.level =
+    level =
         check.choice("log_level", FLAGS_log_level,
                      {log_level::info, log_level::warning, log_level::error});
-    out.format = check.choice("log_format", FLAGS_log_format,
-                              {log_format::logfmt, log_format::json});
+    format = check.choice("log_format", FLAGS_log_format,
+                          {log_format::logfmt, log_format::json});
 }
 
-} // namespace
+result<bool> read_flags_only(int argc, const char* const* argv,
+                             const std::vector<std::string>& names)
+{
+    const auto line = read_flags(argc, argv, names);
+    if (!line)
+    {
+        return line.error();
+    }
+    if (!line.value().help && !line.value().words.empty())
+    {
+        return fail(errc::invalid_argument, "argument '" +
+                                                line.value().words.front() +
+                                                "' is not a flag; --help "
+                                                "lists all");
+    }
+    return line.value().help;
+}
 
 const std::vector<std::string>& setting_names()
 {
@@ -158,29 +176,22 @@
 
 result<std::optional<settings>> load_settings(int argc, const char* const* argv)
 {
-    const auto line = read_flags(argc, argv, setting_names());
-    if (!line)
+    const auto help = read_flags_only(argc, argv, setting_names());
+    if (!help)
     {
-        return line.as_failure();
+        return help.error();
     }
-    if (line.value().help)
+    if (help.value())
     {
         return std::optional<settings>();
     }
-    if (!line.value().words.empty())
-    {
-        return fail(errc::invalid_argument, "argument '" +
-                                                line.value().words.front() +
-                                                "' is not a flag; --help "
-                                                "lists all");
-    }
     flag_checker check;
     settings out;
     check_place(check, out);
     check_addresses(check, out);
     check_files(check, out);
     check_limits(check, out);
-    check_log(check, out);
+    check_log_flags(check, out.level, out.format);
     if (!check.fault().empty())
     {
         return fail(errc::invalid_argument, check.fault());
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,5 +1,4 @@
 #include "../config/flag_checker.hpp"
-#include <siskinflow/config/flags.hpp>
 #include <siskinflow/gateway/gateway_settings.hpp>
 
 #include <gflags/gflags.h>
@@ -13,8 +12,6 @@
 DECLARE_string(control_listen);
 DECLARE_string(store);
 DECLARE_uint64(max_connections);
-DECLARE_string(log_level);
-DECLARE_string(log_format);
 
 DEFINE_string(readiness_listen, "127.0.0.1:8082",
               "Address and port of the readiness check");
@@ -111,15 +108,6 @@
     out.cold_slack = FLAGS_cold_slack;
 }
 
-void check_log(flag_checker& check, gateway_settings& out)
-{
-    out.level =
-        check.choice("log_level", FLAGS_log_level,
-                     {log_level::info, log_level::warning, log_level::error});
-    out.format = check.choice("log_format", FLAGS_log_format,
-                              {log_format::logfmt, log_format::json});
-}
-
 } // namespace
 
 const std::vector<std::string>& gateway_setting_names()
@@ -148,27 +136,21 @@
 result<std::optional<gateway_settings>>
 load_gateway_settings(int argc, const char* const* argv)
 {
-    const auto line = read_flags(argc, argv, gateway_setting_names());
-    if (!line)
+    const auto help = read_flags_only(argc, argv, gateway_setting_names());
+    if (!help)
     {
-        return line.as_failure();
+        return help.error();
     }
-    if (line.value().help)
+    if (help.value())
     {
         return std::optional<gateway_settings>();
     }
-    if (!line.value().words.empty())
-    {
-        return fail(errc::invalid_argument,
-                    "argument '" + line.value().words.front() +
-                        "' is not a flag; --help lists all");
-    }
     flag_checker check;
     gateway_settings out;
     check_self(check, out);
     check_addresses(check, out);
     check_limits(check, out);
-    check_log(check, out);
+    check_log_flags(check, out.level, out.format);
     if (!check.fault().empty())
     {
         return fail(errc::invalid_argument, check.fault());
--- /dev/null
+++ b/src/gateway/request_ends.cpp
@@ -0,0 +1,221 @@
+#include "request_flow.hpp"
+
+#include <algorithm>
+#include <array>
+
+// Ends of a request: answers, refusals, failures, and their log lines.
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Time after which a caller is told to come back at least: one answer of a
+/// target.
+constexpr duration shortest_retry_after = std::chrono::milliseconds(100);
+/// Part of its time within which a caller comes back after a refusal.
+constexpr int patience_parts_to_return = 3;
+
+constexpr std::array<std::string_view, 5> failure_names = {
+    "connection_lost", "bad_answer", "target_failed", "timed_out",
+    "cut_by_stop"};
+
+} // namespace
+
+std::string_view name(failure_reason value) noexcept
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < failure_names.size() ? failure_names[index] : "unknown";
+}
+
+void request_flow::on_time_out()
+{
+    if (ended_)
+    {
+        return;
+    }
+    const auto keep = shared_from_this();
+    if (call_ != nullptr)
+    {
+        const bool sent = call_->sent();
+        call_->cancel();
+        release_target(sent ? attempt_result::no_answer
+                            : attempt_result::unreachable);
+    }
+    if (may_have_run_)
+    {
+        fail_with(failure_reason::timed_out);
+    }
+    else
+    {
+        refuse(refusal_reason::deadline_exceeded_in_queue, std::nullopt);
+    }
+    state_.place_waiting(service_);
+}
+
+void request_flow::on_caller_gone()
+{
+    if (ended_)
+    {
+        return;
+    }
+    const auto keep = shared_from_this();
+    if (call_ != nullptr)
+    {
+        call_->cancel();
+        release_target(attempt_result::abandoned);
+    }
+    log_not_served(0, "cancelled", std::nullopt);
+    finish();
+    if (!service_.empty())
+    {
+        state_.place_waiting(service_);
+    }
+}
+
+void request_flow::deliver()
+{
+    const bool success = status_ < 500;
+    state_.numbers
+        .counter(metric_id::requests, {route_->name, organisation_name(),
+                                       success ? "ran" : "unknown"})
+        .add();
+    state_.numbers.latency(metric_id::request_latency, {route_->name})
+        .observe(spent());
+    if (success)
+    {
+        log_served(status_);
+    }
+    else
+    {
+        log_not_served(status_, "target_answered_failure", std::nullopt);
+    }
+    exchange_->respond({status_, std::move(headers_), std::move(body_)});
+    finish();
+}
+
+void request_flow::refuse(refusal_reason reason,
+                          std::optional<duration> retry_after)
+{
+    state_.numbers.counter(metric_id::refusals, {siskinflow::name(reason)})
+        .add();
+    if (retry_after)
+    {
+        const duration most =
+            (deadline_ - state_.now()) / patience_parts_to_return;
+        retry_after = std::max(shortest_retry_after,
+                               std::min<duration>(*retry_after, most));
+    }
+    answer(http_status(reason), siskinflow::name(reason), retry_after);
+}
+
+void request_flow::fail_with(failure_reason reason)
+{
+    constexpr int bad_gateway = 502;
+    constexpr int gateway_timeout = 504;
+    state_.numbers.counter(metric_id::unknown_outcomes, {gateway::name(reason)})
+        .add();
+    answer(reason == failure_reason::timed_out ? gateway_timeout : bad_gateway,
+           gateway::name(reason), std::nullopt);
+}
+
+void request_flow::answer(int status, std::string_view reason,
+                          std::optional<duration> retry_after)
+{
+    net::http_response out;
+    out.status = status;
+    out.headers = state_.speech.own_answer(terms_);
+    out.headers.add("content-type", "application/json");
+    if (retry_after)
+    {
+        char text[32];
+        std::snprintf(text, sizeof(text), "%.3f", to_seconds(*retry_after));
+        out.headers.add("retry-after", text);
+    }
+    out.body = "{\"reason\":\"" + std::string(reason) + "\"}\n";
+    log_not_served(status, reason, retry_after);
+    exchange_->respond(std::move(out));
+    finish();
+}
+
+void request_flow::finish()
+{
+    ended_ = true;
+    leave_line();
+    state_.loop.cancel(deadline_timer_);
+    state_.loop.cancel(attempt_timer_);
+    call_.reset();
+    state_.in_progress.erase(shared_from_this());
+}
+
+// Log
+
+std::string_view request_flow::organisation_name() const
+{
+    return organisation_ == nullptr ? std::string_view()
+                                    : std::string_view(organisation_->name);
+}
+
+duration request_flow::spent() const
+{
+    return state_.now() - arrived_;
+}
+
+void request_flow::log_served(int status)
+{
+    if (!state_.log.accepts(event_id::request_served))
+    {
+        return;
+    }
+    state_.log.write(event_id::request_served,
+                     {{"request", terms_.id},
+                      {"route", route_->name},
+                      {"organisation", organisation_name()},
+                      {"service", service_},
+                      {"target", target_->record().id},
+                      {"object", gateway::name(placement_.object)},
+                      {"rank", placement_.rank},
+                      {"attempts", tried_.size()},
+                      {"waited_ms", to_ms(waited_)},
+                      {"total_ms", to_ms(spent())},
+                      {"status", status},
+                      {"policy", policy_->document().version},
+                      {"load", load_at_send_},
+                      {"expected_ms", to_ms(placement_.expected)},
+                      {"objective_ms", to_ms(route_->objective)}});
+}
+
+void request_flow::log_not_served(int status, std::string_view reason,
+                                  std::optional<duration> retry_after)
+{
+    if (!state_.log.accepts(event_id::request_not_served))
+    {
+        return;
+    }
+    const bool routed = route_ != nullptr;
+    const double share = organisation_ == nullptr
+                             ? 1
+                             : state_.shares[organisation_->name].part();
+    state_.log.write(
+        event_id::request_not_served,
+        {{"request", terms_.id},
+         {"route", routed ? route_->name : std::string()},
+         {"organisation", organisation_name()},
+         {"service", service_},
+         {"reason", reason},
+         {"status", status},
+         {"attempts", tried_.size()},
+         {"waited_ms", to_ms(waited_)},
+         {"total_ms", to_ms(spent())},
+         {"steps", steps_},
+         {"retry_after_ms", retry_after ? to_ms(*retry_after) : 0},
+         {"policy", policy_ == nullptr ? 0 : policy_->document().version},
+         {"policy_age_ms", to_ms(state_.now() - state_.policy_since)},
+         {"waiting", state_.line(service_).size()},
+         {"targets", state_.targets.of_service(service_).size()},
+         {"share", share},
+         {"left_ms", to_ms(deadline_ - state_.now())}});
+}
+
+} // namespace siskinflow::gateway
