Name the two predicates that judge attempts, in place of repeated conditions

Which results prove that nothing ran, and which statuses promise it, stood twice each in request_attempts.cpp.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -7,6 +7,26 @@
 namespace siskinflow::gateway
 {
 
+namespace
+{
+
+/// Whether the attempt proves that the target did not run the request.
+bool is_certainly_not_run(attempt_result result)
+{
+    return result == attempt_result::unreachable ||
+           result == attempt_result::rejected ||
+           result == attempt_result::misdirected;
+}
+
+/// Statuses that promise a caller that its request has not run. From a target
+/// that does not say so itself, they can't be passed on.
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 429 || status == 503;
+}
+
+} // namespace
+
 /// A target that died silently is found long before the caller's deadline,
 /// which leaves time for another one.
 void request_flow::watch_attempt()
@@ -160,11 +180,9 @@
             answer_.signed_body && !answer_.recoded && !answer_.id.empty();
         return whole ? attempt_result::answered : attempt_result::broken;
     }
-    // These statuses would promise that the request has not run.
-    const bool false_promise =
-        status_ == 408 || status_ == 429 || status_ == 503;
-    return status_ >= 500 || false_promise ? attempt_result::failed
-                                           : attempt_result::answered;
+    return status_ >= 500 || promises_not_run(status_)
+               ? attempt_result::failed
+               : attempt_result::answered;
 }
 
 void request_flow::on_end(net::call_outcome outcome)
@@ -234,10 +252,7 @@
     steps_ += (steps_.empty() ? "" : ",") + id + ":" +
               std::string(gateway::name(result)) + ":" +
               std::to_string(to_ms(now - sent_));
-    const bool certainly_not_run = result == attempt_result::unreachable ||
-                                   result == attempt_result::rejected ||
-                                   result == attempt_result::misdirected;
-    if (!certainly_not_run)
+    if (!is_certainly_not_run(result))
     {
         ++runs_;
         may_have_run_ = true;
@@ -250,10 +265,7 @@
 {
     /// Rejections that one request may meet beside the attempts that ran.
     constexpr unsigned most_rejections = 2;
-    const bool not_run = result == attempt_result::unreachable ||
-                         result == attempt_result::rejected ||
-                         result == attempt_result::misdirected;
-    if (!not_run && !route_->idempotent)
+    if (!is_certainly_not_run(result) && !route_->idempotent)
     {
         return false;
     }
@@ -273,7 +285,7 @@
         return;
     }
     if (result == attempt_result::failed && answer_.signed_body &&
-        status_ != 408 && status_ != 429 && status_ != 503)
+        !promises_not_run(status_))
     {
         deliver();
         return;
