End a fleet that is stopped as a whole within 3 s of its lookups' lifetime

Cause: a stopping VM waits until a fleet record without it is in force, for 8 s at the most.

Ruled out: the farewells to successors (answered within 10 ms in the logs of the failing run) and the store (reachable until the end).

A VM now also ends once every member of the record has said that it leaves; members that are only silent still count as staying.

--- a/include/siskinflow/fleet/fleet_node.hpp
+++ b/include/siskinflow/fleet/fleet_node.hpp
@@ -102,6 +102,10 @@
     /// @brief Whether the newest record no longer lists this VM after `leave`.
     bool has_left() const;
 
+    /// @brief Whether this VM and all other members of the record have said
+    /// that they leave, so that nobody is left to write the next record.
+    bool all_leaving() const;
+
     /// @brief Whether this VM may serve routes that require a key; checked
     /// against the clock at each call. A VM outside the record can be fresh,
     /// so uses of shares need `is_member` as well.
--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -372,6 +372,17 @@
         }
     }
 
+    /// Whether this VM leaves, or the other VM has said that it does.
+    bool is_known_leaving(const member& item) const
+    {
+        if (item.incarnation == self())
+        {
+            return is_leaving;
+        }
+        const auto peer = peers.find(item.incarnation);
+        return peer != peers.end() && peer->second.leaving;
+    }
+
     bool is_listed_as_leaving(const member& item) const
     {
         if (edges.vms == nullptr || !edges.vms->vms())
@@ -878,6 +889,14 @@
     return impl_->wants_removal && !impl_->is_member();
 }
 
+bool fleet_node::all_leaving() const
+{
+    const auto& members = impl_->state.record().members;
+    return std::all_of(members.begin(), members.end(),
+                       [this](const member& item)
+                       { return impl_->is_known_leaving(item); });
+}
+
 bool fleet_node::fresh() const
 {
     return impl_->state.is_fresh(impl_->now());
@@ -934,11 +953,8 @@
     for (const member& item : impl_->state.record().members)
     {
         const bool is_self = item.incarnation == impl_->self();
-        auto peer = impl_->peers.find(item.incarnation);
-        const bool leaving =
-            is_self ? impl_->is_leaving
-                    : peer != impl_->peers.end() && peer->second.leaving;
-        if (!leaving && !impl_->is_listed_as_leaving(item) &&
+        if (!impl_->is_known_leaving(item) &&
+            !impl_->is_listed_as_leaving(item) &&
             (is_self ||
              impl_->heard_lately(item.incarnation, impl_->suspicion_limit())))
         {
--- a/tests/process/stop_process_test.cpp
+++ b/tests/process/stop_process_test.cpp
@@ -97,6 +97,24 @@
             });
 }
 
+// Guards against VMs that wait for a fleet record that nobody is left to write.
+Test(process_stop_faults, all_vms_stop_at_once)
+{
+    // The lifetime of lookups and 3 s for the last messages.
+    constexpr std::chrono::milliseconds whole_fleet_limit = 4s;
+    deployment run(slow_maps());
+    EXPECT(run.ready());
+    for (std::size_t vm = 0; vm < 3; ++vm)
+    {
+        run.vm(vm).signal(SIGTERM);
+    }
+    for (std::size_t vm = 0; vm < 3; ++vm)
+    {
+        section("VM " + std::to_string(vm),
+                [&] { EXPECT(run.vm(vm).wait(whole_fleet_limit) == 0); });
+    }
+}
+
 // Guards against a VM that forgets its stop, or cuts requests, when it is
 // paused in the middle of it.
 Test(process_stop_faults, the_stopping_vm_is_paused)
--- a/tests/unit/fleet_node_test.cpp
+++ b/tests/unit/fleet_node_test.cpp
@@ -87,6 +87,28 @@
     EXPECT(fleet.vms[1].node->record().members.size() == 4);
 }
 
+// Guards against VMs that wait for a record without them when all stop at once
+// and nobody stays to write it.
+Test(fleet_node, whole_fleet_leaves)
+{
+    network fleet;
+    EXPECT(start_fleet(fleet, 3));
+    const auto nobody_stays = [](const fleet_node& node)
+    { return node.all_leaving(); };
+    fleet.vms[0].node->begin_leaving();
+    fleet.vms[1].node->begin_leaving();
+    fleet.run(1s);
+    section("a member that stays still needs the others",
+            [&] { EXPECT(fleet.count(nobody_stays) == 0); });
+    fleet.vms[2].node->begin_leaving();
+    for (std::size_t vm = 0; vm < 3; ++vm)
+    {
+        fleet.vms[vm].node->leave();
+    }
+    section("a fleet that leaves as a whole is known as such within 1 s",
+            [&] { EXPECT(fleet.run_until_all(nobody_stays, 1s)); });
+}
+
 // Guards against a restart during a store outage that leaves the VM without
 // configuration, and against shares for a VM outside the record.
 Test(fleet_node, restart_during_a_store_outage)
