Soak through proxies that delay, reset, cut one way or silence connections

Cause: the soak had only signals, outages and cut answers, and opened a new connection for each request, though callers keep connections until a process is gone.

Callers, targets and the store are now reached through relays (Boost.Asio, in threads of their own). Half of the requests use kept connections. A new promise is checked: a request that ran is not cut by a VM that was neither killed nor paused and whose connections to callers were not disturbed, also while it stops.

--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -34,6 +34,11 @@
 
     std::uint16_t port() const;
 
+    const std::string& id() const
+    {
+        return options_.id;
+    }
+
     /// @brief Runs of each request id.
     const std::map<std::string, int>& runs() const
     {
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -70,8 +70,8 @@
 
 } // namespace
 
-gateway_world::gateway_world(std::size_t vms)
-    : store_(std::make_unique<standin::kv_service>(time_))
+gateway_world::gateway_world(std::size_t vms, link_kind links)
+    : links_(links), store_(std::make_unique<standin::kv_service>(time_))
 {
     auto server =
         net::http_server::listen(http_.loop(), {"127.0.0.1", 0}, {},
@@ -91,6 +91,16 @@
                             .string());
     }
     vms_.resize(vms);
+    if (links_ == link_kind::direct)
+    {
+        return;
+    }
+    store_link_ = std::make_unique<loopback_proxy>(store_port_);
+    store_port_ = store_link_->port();
+    for (const gateway_ports& own : ports_)
+    {
+        caller_links_.push_back(std::make_unique<loopback_proxy>(own.requests));
+    }
 }
 
 gateway_world::~gateway_world()
@@ -168,6 +178,10 @@
     auto added =
         standin::platform_target::start(http_.loop(), std::move(options));
     services_[id] = service;
+    if (links_ == link_kind::proxied)
+    {
+        target_links_[id] = std::make_unique<loopback_proxy>(added->port());
+    }
     standin::platform_target& out = *added;
     targets_[id] = std::move(added);
     register_target(id, "ready");
@@ -177,17 +191,19 @@
 void gateway_world::register_target(const std::string& id,
                                     const std::string& state)
 {
-    store_->put("servers/" + id,
-                json{{"service", services_.at(id)},
-                     {"address", loopback(targets_.at(id)->port())},
-                     {"zone", "zone-0"},
-                     {"version", "v1"},
-                     {"max-concurrency", 6},
-                     {"state", state},
-                     {"warmup-left", "0ms"},
-                     {"sequence", 1},
-                     {"born", 1000}}
-                    .dump());
+    const std::uint16_t port = links_ == link_kind::proxied
+                                   ? target_links_.at(id)->port()
+                                   : targets_.at(id)->port();
+    store_->put("servers/" + id, json{{"service", services_.at(id)},
+                                      {"address", loopback(port)},
+                                      {"zone", "zone-0"},
+                                      {"version", "v1"},
+                                      {"max-concurrency", 6},
+                                      {"state", state},
+                                      {"warmup-left", "0ms"},
+                                      {"sequence", 1},
+                                      {"born", 1000}}
+                                     .dump());
 }
 
 std::shared_ptr<net::http_call>
@@ -195,11 +211,13 @@
                     std::function<void(net::fetch_result)> done)
 {
     net::client_request out;
-    out.peer = {"127.0.0.1", ports_[vm].requests};
+    out.peer = {"127.0.0.1", links_ == link_kind::proxied
+                                 ? caller_links_[vm]->port()
+                                 : ports_[vm].requests};
     out.method = request.method;
     out.target = request.path;
     out.timeout = request.patience + 500ms;
-    out.fresh_connection = true;
+    out.fresh_connection = !request.kept_connection;
     out.headers.add("host", "site.example");
     const std::string id = request.id.empty()
                                ? "request-" + std::to_string(++last_request_)
--- /dev/null
+++ b/tests/lib/loopback_proxy.cpp
@@ -0,0 +1,273 @@
+#include "loopback_proxy.hpp"
+
+// clang-format off
+#include <utility> // Asio of Boost 1.74 uses std::exchange without it.
+#include <boost/asio.hpp>
+// clang-format on
+
+#include <array>
+#include <atomic>
+#include <set>
+#include <thread>
+#include <vector>
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Time between two looks at a direction that is cut.
+constexpr std::chrono::milliseconds cut_poll{10};
+constexpr std::size_t part_bytes = 16384;
+
+/// Faults of a proxy, set from other threads.
+struct link_state
+{
+    std::atomic<std::chrono::milliseconds::rep> delay_ms{0};
+    std::array<std::atomic<bool>, 2> is_cut{false, false};
+};
+
+/// One direction of one connection. It keeps the connection alive while it
+/// runs.
+class pump : public std::enable_shared_from_this<pump>
+{
+public:
+    pump(tcp::socket& from, tcp::socket& to, const link_state& state,
+         direction which)
+        : from_(from), to_(to), timer_(from.get_executor()), state_(state),
+          which_(which)
+    {
+    }
+
+    void run(std::shared_ptr<void> connection)
+    {
+        connection_ = std::move(connection);
+        read();
+    }
+
+    /// Reads and writes nothing more; the sockets stay open.
+    void stop()
+    {
+        stopped_ = true;
+    }
+
+private:
+    void read()
+    {
+        from_.async_read_some(
+            boost::asio::buffer(part_),
+            [self = shared_from_this()](error_code failed, std::size_t bytes)
+            { self->on_read(failed, bytes); });
+    }
+
+    void on_read(error_code failed, std::size_t bytes)
+    {
+        if (stopped_)
+        {
+            connection_.reset();
+            return;
+        }
+        if (failed)
+        {
+            error_code ignored;
+            to_.shutdown(tcp::socket::shutdown_send, ignored);
+            connection_.reset();
+            return;
+        }
+        const std::chrono::milliseconds delay(state_.delay_ms.load());
+        wait(delay, bytes);
+    }
+
+    void wait(std::chrono::milliseconds time, std::size_t bytes)
+    {
+        timer_.expires_after(time);
+        timer_.async_wait([self = shared_from_this(), bytes](error_code)
+                          { self->write_unless_cut(bytes); });
+    }
+
+    void write_unless_cut(std::size_t bytes)
+    {
+        if (stopped_)
+        {
+            connection_.reset();
+            return;
+        }
+        if (state_.is_cut[static_cast<std::size_t>(which_)])
+        {
+            wait(cut_poll, bytes);
+            return;
+        }
+        boost::asio::async_write(
+            to_, boost::asio::buffer(part_.data(), bytes),
+            [self = shared_from_this()](error_code failed, std::size_t)
+            {
+                if (failed)
+                {
+                    self->connection_.reset();
+                    return;
+                }
+                self->read();
+            });
+    }
+
+    tcp::socket& from_;
+    tcp::socket& to_;
+    boost::asio::steady_timer timer_;
+    const link_state& state_;
+    direction which_;
+    std::array<char, part_bytes> part_{};
+    std::shared_ptr<void> connection_;
+    bool stopped_ = false;
+};
+
+struct connection
+{
+    connection(tcp::socket accepted, const link_state& state)
+        : client(std::move(accepted)), server(client.get_executor()),
+          to_server(std::make_shared<pump>(client, server, state,
+                                           direction::to_server)),
+          to_client(std::make_shared<pump>(server, client, state,
+                                           direction::to_client))
+    {
+    }
+
+    void silence() const
+    {
+        to_server->stop();
+        to_client->stop();
+    }
+
+    /// Closes both ends without the usual farewell.
+    void reset()
+    {
+        silence();
+        for (tcp::socket* socket : {&client, &server})
+        {
+            error_code ignored;
+            socket->set_option(boost::asio::socket_base::linger(true, 0),
+                               ignored);
+            socket->close(ignored);
+        }
+    }
+
+    tcp::socket client;
+    tcp::socket server;
+    std::shared_ptr<pump> to_server;
+    std::shared_ptr<pump> to_client;
+};
+
+} // namespace
+
+struct loopback_proxy::impl
+{
+    explicit impl(std::uint16_t port)
+        : server(boost::asio::ip::address_v4::loopback(), port),
+          acceptor(context,
+                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+          own_port(acceptor.local_endpoint().port())
+    {
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [this](error_code failed, tcp::socket accepted)
+            {
+                if (!failed)
+                {
+                    relay(std::move(accepted));
+                }
+                accept();
+            });
+    }
+
+    void relay(tcp::socket accepted)
+    {
+        const auto added =
+            std::make_shared<connection>(std::move(accepted), state);
+        std::erase_if(open, [](const auto& entry) { return entry.expired(); });
+        open.push_back(added);
+        added->server.async_connect(
+            server,
+            [added](error_code failed)
+            {
+                if (failed)
+                {
+                    added->reset();
+                    return;
+                }
+                const tcp::no_delay at_once(true);
+                error_code ignored;
+                added->client.set_option(at_once, ignored);
+                added->server.set_option(at_once, ignored);
+                added->to_server->run(added);
+                added->to_client->run(added);
+            });
+    }
+
+    void for_each_open(void (*act)(connection&))
+    {
+        boost::asio::post(context,
+                          [this, act]
+                          {
+                              for (const auto& entry : open)
+                              {
+                                  if (const auto held = entry.lock())
+                                  {
+                                      act(*held);
+                                      kept.insert(held);
+                                  }
+                              }
+                              open.clear();
+                          });
+    }
+
+    boost::asio::io_context context;
+    tcp::endpoint server;
+    tcp::acceptor acceptor;
+    std::uint16_t own_port;
+    link_state state;
+    std::vector<std::weak_ptr<connection>> open;
+    /// Silent connections stay open until the proxy ends.
+    std::set<std::shared_ptr<connection>> kept;
+    std::thread thread;
+};
+
+loopback_proxy::loopback_proxy(std::uint16_t server_port)
+    : impl_(std::make_unique<impl>(server_port))
+{
+    impl_->accept();
+    impl_->thread = std::thread([this] { impl_->context.run(); });
+}
+
+loopback_proxy::~loopback_proxy()
+{
+    impl_->context.stop();
+    impl_->thread.join();
+}
+
+std::uint16_t loopback_proxy::port() const
+{
+    return impl_->own_port;
+}
+
+void loopback_proxy::delay(std::chrono::milliseconds time)
+{
+    impl_->state.delay_ms = time.count();
+}
+
+void loopback_proxy::cut(direction which, bool is_cut)
+{
+    impl_->state.is_cut[static_cast<std::size_t>(which)] = is_cut;
+}
+
+void loopback_proxy::silence_open()
+{
+    impl_->for_each_open([](connection& open) { open.silence(); });
+}
+
+void loopback_proxy::reset_open()
+{
+    impl_->for_each_open([](connection& open) { open.reset(); });
+}
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -1,6 +1,7 @@
 // Randomized soak of the gateway: real processes on loopback under signals,
-// restarts, store outages and target faults in series that overlap. It checks
-// what callers and targets see and ends with 1 at the first broken promise.
+// restarts, store outages, target faults and proxies that delay, reset, cut one
+// way or silence connections, in series that overlap. It checks what callers
+// and targets see and ends with 1 if a promise was broken.
 #include "gateway_world.hpp"
 
 #include <gflags/gflags.h>
@@ -23,6 +24,8 @@
 constexpr std::chrono::milliseconds request_gap{15};
 constexpr std::chrono::milliseconds fault_gap{700};
 constexpr std::chrono::milliseconds longest_fault{2500};
+/// Delay of each part of the bytes in each direction.
+constexpr std::chrono::milliseconds longest_delay{120};
 /// After the last fault: the bound of 15 s for service as before.
 constexpr std::chrono::milliseconds recovery_limit{15000};
 constexpr int recovered_in_a_row = 30;
@@ -31,10 +34,25 @@
 class promise_checker
 {
 public:
-    explicit promise_checker(gateway_world& world) : world_(world) {}
+    explicit promise_checker(gateway_world& world)
+        : world_(world), disturbed_(FLAGS_vms)
+    {
+    }
+
+    /// A VM is killed or paused, or its connections to callers are disturbed:
+    /// requests that it has now may end without an answer.
+    void on_disturbed(std::size_t vm)
+    {
+        disturbed_[vm] = world_.caller().loop().now();
+    }
 
-    void check(const caller_request& request, const net::fetch_result& got)
+    void check(std::size_t vm, time_point sent, const caller_request& request,
+               const net::fetch_result& got)
     {
+        const bool cut = got.outcome == net::call_outcome::broken ||
+                         got.outcome == net::call_outcome::truncated;
+        require(!cut || sent <= disturbed_[vm] || world_.runs(request.id) == 0,
+                request, "ran and was cut by a VM that nothing had disturbed");
         const bool answered = got.outcome == net::call_outcome::complete;
         const int status = answered ? got.response.status : 0;
         const int runs = world_.runs(request.id);
@@ -93,6 +111,7 @@
 
 private:
     gateway_world& world_;
+    std::vector<time_point> disturbed_; ///< By VM, for the last time.
     std::map<int, int> statuses_;
     std::set<std::string> refused_;
     int broken_ = 0;
@@ -138,12 +157,14 @@
         request.method = order ? "POST" : "GET";
         request.object = std::to_string(random_() % 20);
         request.patience = 2000ms;
+        request.kept_connection = random_() % 2 == 0;
         const std::size_t vm = random_() % FLAGS_vms;
+        const time_point sent = world_.caller().loop().now();
         running_[request.id] = world_.send(
             vm, request,
-            [this, request](const net::fetch_result& got)
+            [this, vm, sent, request](const net::fetch_result& got)
             {
-                promises_.check(request, got);
+                promises_.check(vm, sent, request, got);
                 const bool served =
                     got.outcome == net::call_outcome::complete &&
                     got.response.status == 200;
@@ -166,10 +187,11 @@
 class fault_source
 {
 public:
-    fault_source(gateway_world& world,
+    fault_source(gateway_world& world, promise_checker& promises,
                  std::vector<standin::platform_target*> targets,
                  std::mt19937_64& random)
-        : world_(world), targets_(std::move(targets)), random_(random)
+        : world_(world), promises_(promises), targets_(std::move(targets)),
+          random_(random)
     {
     }
 
@@ -178,7 +200,7 @@
         const std::size_t vm = random_() % FLAGS_vms;
         const std::chrono::milliseconds time(300 +
                                              random_() % longest_fault.count());
-        switch (random_() % 8)
+        switch (random_() % 12)
         {
         case 0:
             restart(vm, SIGKILL, time);
@@ -202,6 +224,19 @@
         case 6:
             cut_answers(random_() % targets_.size(), time);
             break;
+        case 7:
+        case 8:
+            disturb("store", world_.store_link(), time);
+            break;
+        case 9:
+            disturb(
+                "a target",
+                world_.target_link(targets_[random_() % targets_.size()]->id()),
+                time);
+            break;
+        case 10:
+            disturb_callers(vm, time);
+            break;
         default:
             say("new configuration");
             world_.configure();
@@ -226,6 +261,10 @@
             (number == SIGKILL ? " killed" : " told to stop"));
         world_.vm(vm).signal(SIGCONT);
         world_.vm(vm).signal(number);
+        if (number == SIGKILL || restarting_.count(vm) != 0)
+        {
+            promises_.on_disturbed(vm);
+        }
         // A graceful stop takes up to the grace time of 6 s.
         const auto rest = number == SIGKILL ? time : 6500ms;
         if (restarting_.insert(vm).second)
@@ -243,7 +282,58 @@
     {
         say("vm" + std::to_string(vm) + " paused");
         world_.vm(vm).signal(SIGSTOP);
-        later(time, [this, vm] { world_.vm(vm).signal(SIGCONT); });
+        promises_.on_disturbed(vm);
+        later(time,
+              [this, vm]
+              {
+                  promises_.on_disturbed(vm);
+                  world_.vm(vm).signal(SIGCONT);
+              });
+    }
+
+    /// Callers of a VM whose link was disturbed may miss answers to the end of
+    /// the fault.
+    void disturb_callers(std::size_t vm, std::chrono::milliseconds time)
+    {
+        promises_.on_disturbed(vm);
+        disturb("callers of vm" + std::to_string(vm), world_.caller_link(vm),
+                time);
+        later(time, [this, vm] { promises_.on_disturbed(vm); });
+    }
+
+    void disturb(const std::string& who, loopback_proxy& link,
+                 std::chrono::milliseconds time)
+    {
+        switch (random_() % 4)
+        {
+        case 0:
+            say("connections of " + who + " delayed");
+            link.delay(longest_delay);
+            later(time, [&link] { link.delay(0ms); });
+            break;
+        case 1:
+            say("connections of " + who + " reset");
+            link.reset_open();
+            break;
+        case 2:
+            say("connections of " + who + " silent");
+            link.silence_open();
+            break;
+        default:
+            cut_one_way(who, link, time);
+            break;
+        }
+    }
+
+    void cut_one_way(const std::string& who, loopback_proxy& link,
+                     std::chrono::milliseconds time)
+    {
+        const direction which =
+            random_() % 2 == 0 ? direction::to_server : direction::to_client;
+        say("connections of " + who + " cut " +
+            (which == direction::to_server ? "towards it" : "from it"));
+        link.cut(which, true);
+        later(time, [&link, which] { link.cut(which, false); });
     }
 
     void outage(standin::kv_outage kind, std::chrono::milliseconds time)
@@ -264,6 +354,7 @@
     }
 
     gateway_world& world_;
+    promise_checker& promises_;
     std::vector<standin::platform_target*> targets_;
     std::mt19937_64& random_;
     std::set<std::size_t> restarting_;
@@ -290,7 +381,7 @@
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::mt19937_64 random(FLAGS_seed);
-    gateway_world world(FLAGS_vms);
+    gateway_world world(FLAGS_vms, link_kind::proxied);
     const auto targets = add_targets(world);
     world.configure();
     if (!world.start_all())
@@ -304,7 +395,7 @@
     }
     promise_checker promises(world);
     caller_load load(world, promises, random);
-    fault_source faults(world, targets, random);
+    fault_source faults(world, promises, targets, random);
     load.start();
     auto striking =
         world.caller().loop().every(fault_gap, [&faults] { faults.strike(); });
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "kv_service.hpp"
+#include "loopback_proxy.hpp"
 #include "platform_target.hpp"
 #include "processes.hpp"
 
@@ -32,6 +33,14 @@
     std::string id; ///< Drawn if empty.
     std::string object = "1";
     std::chrono::milliseconds patience{3000};
+    bool kept_connection = false; ///< One that served an earlier request.
+};
+
+/// @brief How gateways are connected with callers, targets and the store.
+enum class link_kind : std::uint8_t
+{
+    direct,
+    proxied, ///< Each through a proxy, which can disturb it.
 };
 
 /// @brief Store and targets run in the test's own loop, gateways in processes.
@@ -40,7 +49,8 @@
 {
 public:
     /// @param vms gateway processes; they are started by `start`
-    explicit gateway_world(std::size_t vms);
+    explicit gateway_world(std::size_t vms,
+                           link_kind links = link_kind::direct);
     ~gateway_world();
 
     /// @brief Starts the gateway of an index, or starts it again.
@@ -101,6 +111,20 @@
     /// @brief Standard output of a gateway so far.
     std::string log(std::size_t vm) const;
 
+    /// @brief Proxies of a proxied world.
+    loopback_proxy& caller_link(std::size_t vm)
+    {
+        return *caller_links_.at(vm);
+    }
+    loopback_proxy& target_link(const std::string& id)
+    {
+        return *target_links_.at(id);
+    }
+    loopback_proxy& store_link()
+    {
+        return *store_link_;
+    }
+
     /// @brief Runs of a request id over all targets.
     int runs(const std::string& id) const;
 
@@ -116,6 +140,7 @@
 
 private:
     siskinflow::boot_clock time_;
+    link_kind links_;
     processes::http http_;
     std::unique_ptr<standin::kv_service> store_;
     std::unique_ptr<siskinflow::net::http_server> store_server_;
@@ -126,6 +151,9 @@
     std::vector<std::string> logs_;
     std::map<std::string, std::unique_ptr<standin::platform_target>> targets_;
     std::map<std::string, std::string> services_; ///< By target.
+    std::vector<std::unique_ptr<loopback_proxy>> caller_links_;
+    std::map<std::string, std::unique_ptr<loopback_proxy>> target_links_;
+    std::unique_ptr<loopback_proxy> store_link_;
     unsigned version_ = 0;
     unsigned last_request_ = 0;
 };
