Refuse keys without word from the store where revocation is strict

Cause: strict-revoke = true of the platform was not provided for (listed as open in docs/platform.md): a VM that is cut off serves on with the configuration that it knows, whatever the operators say.

With a limit, watches wait for a third of it, so that two answers may be lost, keyed requests without it get 503 not_fresh, and the VM is not ready, which takes it out of the lookups of its peers.

gateway/strict_revocation_needs_the_store: keys are honoured in calm, refused 1.5 s after the store falls silent, honoured again with it. Without the check its second section fails (200 in place of 503).

--- a/include/siskinflow/gateway/gateway_settings.hpp
+++ b/include/siskinflow/gateway/gateway_settings.hpp
@@ -29,6 +29,8 @@
     std::size_t max_connections = 0;
     duration stop_grace{0};      ///< From SIGTERM to the forced end.
     duration lookup_lifetime{0}; ///< Of an answer that names VMs.
+    /// Age of the configuration up to which keys are honoured; none: any.
+    std::optional<duration> revocation_limit;
     double retry_ratio = 0; ///< Further attempts for each request, all VMs.
     double retry_slack = 0; ///< Further attempts beyond the ratio, all VMs.
     /// Requests that a cold target may get in a second beyond its rate.
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -24,6 +24,10 @@
     /// order; versions in between may be left out.
     virtual void on_change(const store_change& change) = 0;
 
+    /// @brief The store has confirmed that nothing else had changed when it
+    /// was asked.
+    virtual void on_confirmed(time_point /*asked*/) {}
+
     /// @brief All keys of a listing have been reported.
     virtual void on_listed() = 0;
 
@@ -34,6 +38,16 @@
     virtual void on_available(duration down) = 0;
 };
 
+/// @brief How often a mirror calls the store.
+struct mirror_options
+{
+    /// From one change to the next watch, so that changes that come close
+    /// together arrive with one call.
+    duration pause{0};
+    /// Longest wait of one watch. The platform's store allows 30 s.
+    duration watch = std::chrono::seconds(25);
+};
+
 /// @brief Lists a prefix once and then follows its changes by watches. After a
 /// failure it goes on from the last revision known; when the store has dropped
 /// that history, it lists again and reports the difference.
@@ -44,11 +58,10 @@
     /// @param timers run the retries; must outlive the mirror
     /// @param time the timers' clock
     /// @param prefix keys to mirror
-    /// @param pause time from one change to the next watch, so that changes
-    /// that come close together arrive with one call
     /// @param listener told of changes; must outlive the mirror
     store_mirror(lease_store& source, timer_queue& timers, const clock& time,
-                 std::string prefix, duration pause, mirror_listener& listener);
+                 std::string prefix, const mirror_options& options,
+                 mirror_listener& listener);
     ~store_mirror();
     store_mirror(const store_mirror&) = delete;
     store_mirror& operator=(const store_mirror&) = delete;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -54,6 +54,20 @@
     return {settings.level, settings.format, log_burst, log_lines_per_s};
 }
 
+/// With a limit on revocations the store is asked often enough for two answers
+/// to be lost within it.
+mirror_options operator_options(const gateway_settings& settings)
+{
+    constexpr int watches_per_limit = 3;
+    mirror_options out{operator_pause};
+    if (settings.revocation_limit)
+    {
+        out.watch =
+            std::min(out.watch, *settings.revocation_limit / watches_per_limit);
+    }
+    return out;
+}
+
 } // namespace
 
 struct gateway_node::impl
@@ -68,13 +82,13 @@
           operators(state, platform_in.records),
           registrations(state, platform_in.records), vms(state),
           operator_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                          platform_in.records.operator_prefix(), operator_pause,
-                          operators),
+                          platform_in.records.operator_prefix(),
+                          operator_options(state.settings), operators),
           target_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                        platform_in.records.target_prefix(), target_pause,
+                        platform_in.records.target_prefix(), {target_pause},
                         registrations),
           vm_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                    vm_prefix, vm_pause, vms),
+                    vm_prefix, {vm_pause}, vms),
           registration(platform_in.store, loop_in.timers(), loop_in.time(),
                        vm_prefix + state.settings.self.name,
                        to_json(state.settings.self), registration_ttl)
@@ -111,7 +125,7 @@
 
     bool ready() const
     {
-        return life.state() == lifecycle_state::serving;
+        return life.state() == lifecycle_state::serving && state.trusts_keys();
     }
 
     result<void> listen();
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -25,6 +25,9 @@
 DEFINE_string(stop_grace, "6s",
               "Time from SIGTERM to the forced end of the process");
 DEFINE_string(directory_lifetime, "1s", "Lifetime of an answer that names VMs");
+DEFINE_string(revocation_limit, "",
+              "Time without word from the store after which requests with a "
+              "key are refused; empty: no limit");
 DEFINE_double(retry_ratio, 0.2,
               "Further attempts that are allowed for each request, over all "
               "VMs (0-1)");
@@ -100,6 +103,11 @@
     out.stop_grace = check.time("stop_grace", FLAGS_stop_grace);
     out.lookup_lifetime =
         check.time("directory_lifetime", FLAGS_directory_lifetime);
+    if (!FLAGS_revocation_limit.empty())
+    {
+        out.revocation_limit =
+            check.time("revocation_limit", FLAGS_revocation_limit);
+    }
     check_ratio(check, "retry_ratio", FLAGS_retry_ratio, 1);
     check_ratio(check, "retry_slack", FLAGS_retry_slack, 100'000);
     check_ratio(check, "cold_slack", FLAGS_cold_slack, 1000);
@@ -125,6 +133,7 @@
                                                    "max_connections",
                                                    "stop_grace",
                                                    "directory_lifetime",
+                                                   "revocation_limit",
                                                    "retry_ratio",
                                                    "retry_slack",
                                                    "cold_slack",
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -30,7 +30,8 @@
     : loop(loop_in), caller(caller_in), speech(speech_in), log(log_in),
       numbers(numbers_in), settings(std::move(settings_in)),
       targets({settings.self.failure_domain, settings.self.region}),
-      chooser(targets, placement_costs{}), peers(settings.self)
+      chooser(targets, placement_costs{}), peers(settings.self),
+      trust_(make_key_trust(settings.revocation_limit))
 {
 }
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -5,6 +5,7 @@
 #include <siskinflow/admission/retry_budget.hpp>
 #include <siskinflow/gateway/dialect.hpp>
 #include <siskinflow/gateway/gateway_settings.hpp>
+#include <siskinflow/gateway/key_trust.hpp>
 #include <siskinflow/gateway/peers.hpp>
 #include <siskinflow/gateway/policy.hpp>
 #include <siskinflow/gateway/rate_share.hpp>
@@ -47,6 +48,8 @@
 
     std::shared_ptr<const policy_index> policy; ///< Null until one is known.
     time_point policy_since{};
+    /// When the store was last asked and confirmed that it has no newer one.
+    time_point policy_confirmed{};
     target_directory targets;
     target_chooser chooser;
     peer_table peers;
@@ -61,6 +64,12 @@
         return loop.now();
     }
 
+    /// @brief Whether the policy is young enough to honour keys by it.
+    bool trusts_keys() const
+    {
+        return trust_->holds(now() - policy_confirmed);
+    }
+
     /// @brief Work time of a route's requests at a service.
     work_estimate& work(const route_policy& route, const std::string& service);
 
@@ -108,6 +117,7 @@
     region_load load_of(const std::string& service) const;
     double caller_part() const;
 
+    std::unique_ptr<key_trust> trust_;
     std::unordered_map<std::string, work_estimate> work_;
     std::unordered_map<std::string, retry_budget> retries_;
     std::unordered_map<std::string, waiting_line> lines_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -47,7 +47,8 @@
     if (const auto refused = admit())
     {
         std::optional<duration> retry_after;
-        if (*refused == refusal_reason::no_configuration)
+        if (*refused == refusal_reason::no_configuration ||
+            *refused == refusal_reason::not_fresh)
         {
             retry_after = no_policy_retry_after;
         }
@@ -131,6 +132,10 @@
     {
         return refusal_reason::missing_key;
     }
+    if (!state_.trusts_keys())
+    {
+        return refusal_reason::not_fresh;
+    }
     organisation_ = policy_->find_organisation(*terms_.key);
     if (organisation_ == nullptr)
     {
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -63,6 +63,11 @@
     }
 }
 
+void operator_feed::on_confirmed(time_point asked)
+{
+    state_.policy_confirmed = asked;
+}
+
 void operator_feed::on_policy(policy next, store_revision revision)
 {
     if (state_.adopt(std::move(next), revision))
--- a/src/gateway/state_feed.hpp
+++ b/src/gateway/state_feed.hpp
@@ -39,6 +39,7 @@
 public:
     operator_feed(gateway_state& state, const record_format& records);
     void on_change(const store_change& change) override;
+    void on_confirmed(time_point asked) override;
 
 private:
     void on_policy(policy next, store_revision revision);
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -10,9 +10,6 @@
 {
 
 constexpr duration list_timeout = std::chrono::seconds(2);
-/// Longest wait of one watch; the store allows 30 s. A connection that went
-/// silent is found by the client's keep-alive probes before.
-constexpr duration watch_wait = std::chrono::seconds(25);
 constexpr duration first_retry = std::chrono::milliseconds(50);
 /// A store that refuses is spared more than one that can't be reached: its
 /// calls cost, and a cut that has ended is to be noticed at once.
@@ -24,9 +21,10 @@
 struct store_mirror::impl : std::enable_shared_from_this<impl>
 {
     impl(lease_store& source, timer_queue& timers, const clock& time,
-         std::string prefix, duration pause, mirror_listener& listener)
+         std::string prefix, const mirror_options& options,
+         mirror_listener& listener)
         : source(source), timers(timers), time(time), prefix(std::move(prefix)),
-          pause(pause), listener(&listener)
+          options(options), listener(&listener)
     {
     }
 
@@ -34,10 +32,11 @@
     timer_queue& timers;
     const clock& time;
     std::string prefix;
-    duration pause;
+    mirror_options options;
     mirror_listener* listener; ///< Null once the mirror is destroyed.
     std::map<std::string, store_revision> known;
     store_revision revision = 0;
+    time_point asked{};      ///< When the call that counts was sent.
     std::uint64_t watch = 0; ///< Number of the watch that counts.
     bool has_listed = false;
     bool failing = false;
@@ -47,6 +46,7 @@
 
     void list()
     {
+        asked = time.now();
         source.list(prefix, list_timeout,
                     [self = shared_from_this()](result<store_page> page)
                     { self->on_list(std::move(page)); });
@@ -55,8 +55,9 @@
     void await()
     {
         const std::uint64_t number = ++watch;
+        asked = time.now();
         source.await_changes(
-            prefix, revision, watch_wait,
+            prefix, revision, options.watch,
             [self = shared_from_this(), number](result<store_page> page)
             {
                 if (number == self->watch)
@@ -81,6 +82,7 @@
         remove_missing(page.value());
         apply(page.value());
         has_listed = true;
+        listener->on_confirmed(asked);
         listener->on_listed();
         await();
     }
@@ -103,12 +105,13 @@
         }
         succeeded();
         apply(page.value());
+        listener->on_confirmed(asked);
         if (page.value().entries.empty())
         {
             await();
             return;
         }
-        after(pause, &impl::await);
+        after(options.pause, &impl::await);
     }
 
     void after(duration delay, void (impl::*next)())
@@ -194,9 +197,10 @@
 
 store_mirror::store_mirror(lease_store& source, timer_queue& timers,
                            const clock& time, std::string prefix,
-                           duration pause, mirror_listener& listener)
+                           const mirror_options& options,
+                           mirror_listener& listener)
     : impl_(std::make_shared<impl>(source, timers, time, std::move(prefix),
-                                   pause, listener))
+                                   options, listener))
 {
 }
 
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -117,19 +117,20 @@
 {
     const gateway_ports& own = ports_[vm];
     const std::string domain = "zone-" + std::to_string(vm % 2);
-    vms_[vm] = std::make_unique<processes::child>(
-        "siskinflow_gateway",
-        std::vector<std::string>{
-            "--vm_name=vm" + std::to_string(vm), "--region=north",
-            "--failure_domain=" + domain,
-            "--http_listen=" + loopback(own.requests),
-            "--control_listen=" + loopback(own.peers),
-            "--readiness_listen=" + loopback(own.readiness),
-            "--directory_listen=" + loopback(own.directory),
-            "--metrics_listen=" + loopback(own.metrics),
-            "--store=" + loopback(store_port_),
-            "--domain_regions=zone-0=north,zone-1=north"},
-        logs_[vm]);
+    std::vector<std::string> flags{
+        "--vm_name=vm" + std::to_string(vm),
+        "--region=north",
+        "--failure_domain=" + domain,
+        "--http_listen=" + loopback(own.requests),
+        "--control_listen=" + loopback(own.peers),
+        "--readiness_listen=" + loopback(own.readiness),
+        "--directory_listen=" + loopback(own.directory),
+        "--metrics_listen=" + loopback(own.metrics),
+        "--store=" + loopback(store_port_),
+        "--domain_regions=zone-0=north,zone-1=north"};
+    flags.insert(flags.end(), flags_.begin(), flags_.end());
+    vms_[vm] = std::make_unique<processes::child>("siskinflow_gateway", flags,
+                                                  logs_[vm]);
 }
 
 bool gateway_world::start_all()
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -160,6 +160,42 @@
     }
 }
 
+// Guards against a withdrawn key that a VM without the store honours although
+// revocation is strict, and against a VM that refuses keys in calm.
+Test(gateway, strict_revocation_needs_the_store)
+{
+    constexpr auto limit = 1500ms;
+    gateway_world world(1);
+    world.add_flag("--revocation_limit=1500ms");
+    world.add_target("maps", named("m1"));
+    world.configure();
+    EXPECT(world.start_all());
+    section("keys are honoured in calm, long after the last change",
+            [&]
+            {
+                world.run_for(2 * limit);
+                EXPECT(status(world.call(0)) == 200);
+            });
+    section("without the store they are refused as not run, and the VM is not "
+            "ready",
+            [&]
+            {
+                world.store().set_outage(standin::kv_outage::silent);
+                world.run_for(limit + 500ms);
+                EXPECT(status(world.call(0)) == 503);
+                EXPECT(world.readiness(0) == 503);
+                EXPECT(world.log(0).find("reason=not_fresh") !=
+                       std::string::npos);
+            });
+    section("they are honoured again with the store",
+            [&]
+            {
+                world.store().set_outage(standin::kv_outage::none);
+                EXPECT(world.until([&] { return world.readiness(0) == 200; }));
+                EXPECT(status(world.call(0)) == 200);
+            });
+}
+
 // Guards against requests that are cut or refused by a planned stop.
 Test(gateway, stops_gracefully)
 {
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -128,6 +128,12 @@
     /// @brief Runs of a request id over all targets.
     int runs(const std::string& id) const;
 
+    /// @brief Adds a flag for gateways started from now on.
+    void add_flag(const std::string& flag)
+    {
+        flags_.push_back(flag);
+    }
+
     /// @brief Replaces the store's address for gateways started from now on.
     void store_port(std::uint16_t port)
     {
@@ -149,6 +155,7 @@
     std::vector<gateway_ports> ports_;
     std::vector<std::unique_ptr<processes::child>> vms_;
     std::vector<std::string> logs_;
+    std::vector<std::string> flags_;
     std::map<std::string, std::unique_ptr<standin::platform_target>> targets_;
     std::map<std::string, std::string> services_; ///< By target.
     std::vector<std::unique_ptr<loopback_proxy>> caller_links_;
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -124,7 +124,7 @@
     world.service.put("b/1", "other");
     map_listener seen;
     store_mirror mirror(world.client, world.loop.timers(), world.time, "a/",
-                        20ms, seen);
+                        {20ms}, seen);
     mirror.start();
     section("a listing of several pages",
             [&]
