--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -265,9 +265,14 @@
     }
 
 private:
+    void leave_domain(const target_record& record);
+
     vm_place place_;
     std::unordered_map<std::string, target_ptr> by_id_;
     std::unordered_map<std::string, std::vector<target_ptr>> by_service_;
+    /// Targets of each service by failure domain.
+    std::unordered_map<std::string, std::map<std::string, std::size_t>>
+        domain_sizes_;
     std::unordered_map<std::string, object_locations> locations_;
     std::unordered_map<std::string, double> usual_load_;
     std::set<std::string> evacuated_;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -206,6 +206,10 @@
 /// one request at once.
 void gateway_state::update_cold_rates()
 {
+    if (policy == nullptr)
+    {
+        return;
+    }
     const std::vector<std::string> vms = peers.names();
     targets.for_each(
         [&](target& entry)
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -106,6 +106,10 @@
     /// @brief Brings this VM's parts of all fleet-wide limits up to date.
     void update_shares();
 
+    /// @brief Brings the rates that this VM may send to cold targets up to
+    /// date with the targets and VMs that are known.
+    void update_cold_rates();
+
     /// @brief Part of a service's requests that leaves the region.
     region_split& split(const std::string& service);
 
@@ -113,7 +117,6 @@
     void update_splits();
 
 private:
-    void update_cold_rates();
     region_load load_of(const std::string& service) const;
     double caller_part() const;
 
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -114,6 +114,8 @@
 void target_feed::on_listed()
 {
     listed_ = true;
+    state_.update_cold_rates();
+    state_.place_all_waiting();
 }
 
 void target_feed::on_change(const store_change& change)
@@ -175,9 +177,9 @@
         // order of the objects.
         state_.targets.find(entry.id)->skip_introduction();
     }
-    if (added)
+    if (added && listed_)
     {
-        state_.update_shares();
+        state_.update_cold_rates();
         state_.place_waiting(entry.service);
     }
 }
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -239,6 +239,7 @@
     const bool same = known != nullptr &&
                       known->record().service == record.service &&
                       known->record().address == record.address &&
+                      known->record().failure_domain == record.failure_domain &&
                       known->record().started_at_ms == record.started_at_ms;
     if (same)
     {
@@ -252,6 +253,7 @@
     auto added = std::make_shared<target>(record);
     added->update(record, now);
     by_id_[record.id] = added;
+    ++domain_sizes_[record.service][record.failure_domain];
     by_service_[record.service].push_back(std::move(added));
     return true;
 }
@@ -264,11 +266,22 @@
         return;
     }
     const std::string service = found->second->record().service;
+    leave_domain(found->second->record());
     std::erase(by_service_[service], found->second);
     locations_[service].forget(id);
     by_id_.erase(found);
 }
 
+void target_directory::leave_domain(const target_record& record)
+{
+    auto& sizes = domain_sizes_[record.service];
+    const auto found = sizes.find(record.failure_domain);
+    if (found != sizes.end() && --found->second == 0)
+    {
+        sizes.erase(found);
+    }
+}
+
 void target_directory::evacuate(std::set<std::string> failure_domains)
 {
     evacuated_ = std::move(failure_domains);
@@ -290,15 +303,13 @@
 
 double target_directory::usual_targets(const std::string& service) const
 {
-    std::set<std::string_view> domains;
-    const auto& all = of_service(service);
-    for (const target_ptr& entry : all)
+    const auto found = domain_sizes_.find(service);
+    if (found == domain_sizes_.end() || found->second.empty())
     {
-        domains.insert(entry->record().failure_domain);
+        return 0;
     }
-    return domains.empty() ? 0
-                           : static_cast<double>(all.size()) /
-                                 static_cast<double>(domains.size());
+    return static_cast<double>(of_service(service).size()) /
+           static_cast<double>(found->second.size());
 }
 
 bool target_directory::in_service(const target& which) const
