--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -119,6 +119,7 @@
     std::function<void()> on_stopped;
     time_point started{};
     time_point stop_at{};
+    time_point registration_lost{}; ///< When its renewals began to fail.
     time_point next_message{};
     /// Requests admitted when the peers were told last, by organisation.
     std::unordered_map<std::string, std::uint32_t> told;
@@ -206,9 +207,20 @@
             log.write(event_id::lifecycle_changed,
                       {{"from", name(from)}, {"to", name(to)}});
         });
+    // A store that is silent on a waiting watch is found by the renewals.
+    registration.on_lost(
+        [this](const error& reason)
+        {
+            registration_lost = state.now();
+            log.write(
+                event_id::store_unavailable,
+                {{"operation", "registration"}, {"reason", reason.message}});
+        });
     registration.on_recovered(
         [this]
         {
+            log.write(event_id::store_available,
+                      {{"down_ms", to_ms(state.now() - registration_lost)}});
             operator_mirror.refresh();
             target_mirror.refresh();
             vm_mirror.refresh();
--- a/src/store/lease_keeper.cpp
+++ b/src/store/lease_keeper.cpp
@@ -1,6 +1,7 @@
 #include <siskinflow/store/lease_keeper.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinflow
 {
@@ -33,6 +34,7 @@
     std::uint64_t lease = 0; ///< 0: none is held.
     bool stopped = false;
     bool failing = false;
+    std::function<void(const error&)> on_lost;
     std::function<void()> on_recovered;
 
     void grant()
@@ -45,7 +47,7 @@
 
     void on_granted(const result<store_lease>& granted)
     {
-        note(granted.has_value());
+        note(granted);
         if (!granted)
         {
             after(retry_delay, &impl::grant);
@@ -69,7 +71,7 @@
 
     void on_written(const result<void>& written)
     {
-        note(written || written.error().code == errc::not_found);
+        note(written);
         if (!written && written.error().code == errc::not_found)
         {
             grant();
@@ -94,7 +96,7 @@
 
     void on_renewed(const result<void>& renewed)
     {
-        note(renewed || renewed.error().code == errc::not_found);
+        note(renewed);
         if (!renewed && renewed.error().code == errc::not_found)
         {
             grant();
@@ -103,15 +105,24 @@
         after(renewed ? ttl / renewals_per_ttl : retry_delay, &impl::renew);
     }
 
-    /// Notes whether the store answered.
-    void note(bool answered)
+    /// Notes whether the store answered. That a lease has ended is an answer.
+    template <class T>
+    void note(const result<T>& got)
     {
-        const bool recovered = failing && answered;
-        failing = !answered;
-        if (recovered && on_recovered && !stopped)
+        const bool answered = got || got.error().code == errc::not_found;
+        const bool was_failing = std::exchange(failing, !answered);
+        if (stopped || failing == was_failing)
+        {
+            return;
+        }
+        if (answered && on_recovered)
         {
             on_recovered();
         }
+        if (!answered && on_lost)
+        {
+            on_lost(got.error());
+        }
     }
 
     void after(duration delay, void (impl::*next)())
@@ -159,6 +170,11 @@
     impl_->stopped = true;
 }
 
+void lease_keeper::on_lost(std::function<void(const error&)> callback)
+{
+    impl_->on_lost = std::move(callback);
+}
+
 void lease_keeper::on_recovered(std::function<void()> callback)
 {
     impl_->on_recovered = std::move(callback);
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -66,6 +66,7 @@
     faults_ += known_caller ? 0 : 1;
     ++runs_[id];
     ++running_;
+    exchange->on_cancel([this] { ++cancelled_; });
     loop_.after(options_.work, [this, exchange] { finish(exchange); });
 }
 
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -39,6 +39,11 @@
         return options_.id;
     }
 
+    unsigned slots() const
+    {
+        return options_.slots;
+    }
+
     /// @brief Runs of each request id.
     const std::map<std::string, int>& runs() const
     {
@@ -56,6 +61,18 @@
         return running_;
     }
 
+    /// @brief Requests whose sender left before the answer.
+    std::uint64_t cancelled() const
+    {
+        return cancelled_;
+    }
+
+    /// @brief Sets how long requests take that arrive from now on.
+    void set_work(siskinflow::duration work)
+    {
+        options_.work = work;
+    }
+
     void set_cut_part(double part)
     {
         options_.cut_part = part;
@@ -74,6 +91,7 @@
     std::unique_ptr<siskinflow::net::http_server> server_;
     std::map<std::string, int> runs_;
     std::uint64_t faults_ = 0;
+    std::uint64_t cancelled_ = 0;
     unsigned running_ = 0;
     double cut_credit_ = 0;
 };
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -195,16 +195,17 @@
     const std::uint16_t port = links_ == link_kind::proxied
                                    ? target_links_.at(id)->port()
                                    : targets_.at(id)->port();
-    store_->put("servers/" + id, json{{"service", services_.at(id)},
-                                      {"address", loopback(port)},
-                                      {"zone", "zone-0"},
-                                      {"version", "v1"},
-                                      {"max-concurrency", 6},
-                                      {"state", state},
-                                      {"warmup-left", "0ms"},
-                                      {"sequence", 1},
-                                      {"born", 1000}}
-                                     .dump());
+    store_->put("servers/" + id,
+                json{{"service", services_.at(id)},
+                     {"address", loopback(port)},
+                     {"zone", "zone-0"},
+                     {"version", "v1"},
+                     {"max-concurrency", targets_.at(id)->slots()},
+                     {"state", state},
+                     {"warmup-left", "0ms"},
+                     {"sequence", 1},
+                     {"born", 1000}}
+                    .dump());
 }
 
 std::shared_ptr<net::http_call>
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -179,6 +179,8 @@
                         "here", 600ms);
     int recovered = 0;
     keeper.on_recovered([&] { ++recovered; });
+    int lost = 0;
+    keeper.on_lost([&](const error&) { ++lost; });
     keeper.start();
     const auto present = [&] { return world.service.count("vms/") == 1; };
     EXPECT(world.until(present));
@@ -199,6 +201,7 @@
                 world.service.tick();
                 EXPECT(world.until(present));
                 EXPECT(world.until([&] { return recovered == 1; }));
+                EXPECT(lost == 1);
             });
     section("it goes at a planned stop",
             [&]
