Keep VMs of large fleets named; limit cold targets only while they are cold

Cause: messages between VMs came each 33 ms for each VM of the fleet (3.3 s at 100 VMs, 10 s at 300), while a VM counts as silent after 2.6 s. From 79 VMs on every VM took all others for dead between two messages, and from 40 on one lost datagram was enough; lookups then name one VM only. At 300 VMs each change of the list of VMs also hashed all targets with all VMs (over a million hashes) to set rates of targets that are not cold.

The interval now ends at 2 s, and a VM is silent after 2.6 intervals, 2.6 s at the least: fleets of up to 30 VMs see no change, a dead VM is left out after 5.2 s in larger ones (the directory may name it for 7 s). Only cold targets get a rate; one that becomes cold, by its registration or an answer, gets it at once.

Ruled out: a fixed interval for all sizes (880 messages/s at 440 VMs).

--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -111,6 +111,11 @@
         return others_.size() + 1;
     }
 
+    /// @brief Time between two messages to each VM. It grows with the fleet,
+    /// so that the messages that a VM receives stay few, but only as far as a
+    /// VM that died is still found in time.
+    duration message_interval() const;
+
     /// @brief Names of all VMs, this one included, in order.
     std::vector<std::string> names() const;
 
@@ -130,7 +135,7 @@
         time_point heard{}; ///< The start of the clock if never.
     };
 
-    static bool silent(const peer& which, time_point now);
+    bool silent(const peer& which, time_point now) const;
 
     vm_record self_;
     bool serving_ = false;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -18,10 +18,6 @@
 namespace
 {
 
-/// Time between two messages to each peer; in a larger fleet, the time for
-/// each VM, which bounds the messages that one VM receives to 30 a second.
-constexpr duration least_peer_interval = std::chrono::milliseconds(500);
-constexpr duration peer_interval_per_vm = std::chrono::milliseconds(33);
 constexpr duration peer_tick = std::chrono::milliseconds(100);
 /// Time for which changes gather in the store before they are asked for. Each
 /// call costs; the bounds on configurations and draining targets are 2.5 s.
@@ -340,10 +336,7 @@
 
 void gateway_node::impl::tell_peers()
 {
-    next_message = state.now() +
-                   std::max(least_peer_interval,
-                            peer_interval_per_vm *
-                                static_cast<std::int64_t>(state.peers.size()));
+    next_message = state.now() + state.peers.message_interval();
     state.peers.expire(state.now());
     state.update_shares();
     peer_state message;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -201,42 +201,53 @@
     update_cold_rates();
 }
 
-/// A cold target bears its rate and some slack from all VMs together. A few
-/// VMs, the same on each VM's list, may send to it, each a part of the rate and
-/// one request at once.
 void gateway_state::update_cold_rates()
 {
-    if (policy == nullptr)
-    {
-        return;
-    }
     const std::vector<std::string> vms = peers.names();
     targets.for_each(
         [&](target& entry)
         {
-            const service_policy* service =
-                policy->find_service(entry.record().service);
-            const double rate =
-                service == nullptr ? 0 : service->warm_up_rate_per_s;
-            if (rate <= 0)
+            if (entry.cold(now()))
             {
-                return;
+                limit_cold(entry, vms);
             }
-            const auto most = static_cast<std::size_t>(
-                std::max(1.0, settings.cold_slack + rate / 2 - 1));
-            const std::size_t senders = std::min(most, vms.size());
-            const auto weight = [&](const std::string& vm)
-            { return stable_hash(vm, stable_hash(entry.record().id)); };
-            const std::uint64_t own = weight(settings.self.name);
-            const auto before = static_cast<std::size_t>(std::count_if(
-                vms.begin(), vms.end(),
-                [&](const std::string& vm) { return weight(vm) < own; }));
-            entry.limit_cold_rate(
-                before < senders ? rate / static_cast<double>(senders) : 0,
-                now());
         });
 }
 
+void gateway_state::limit_if_cold(target& which)
+{
+    if (which.cold(now()))
+    {
+        limit_cold(which, peers.names());
+    }
+}
+
+/// A cold target bears its rate and some slack from all VMs together. A few
+/// VMs, the same on each VM's list, may send to it, each a part of the rate and
+/// one request at once.
+void gateway_state::limit_cold(target& which,
+                               const std::vector<std::string>& vms)
+{
+    const service_policy* service =
+        policy == nullptr ? nullptr
+                          : policy->find_service(which.record().service);
+    const double rate = service == nullptr ? 0 : service->warm_up_rate_per_s;
+    if (rate <= 0)
+    {
+        return;
+    }
+    const auto most = static_cast<std::size_t>(
+        std::max(1.0, settings.cold_slack + rate / 2 - 1));
+    const std::size_t senders = std::min(most, vms.size());
+    const std::uint64_t seed = stable_hash(which.record().id);
+    const std::uint64_t own = stable_hash(settings.self.name, seed);
+    const auto before = static_cast<std::size_t>(std::count_if(
+        vms.begin(), vms.end(),
+        [&](const std::string& vm) { return stable_hash(vm, seed) < own; }));
+    which.limit_cold_rate(
+        before < senders ? rate / static_cast<double>(senders) : 0, now());
+}
+
 region_load gateway_state::load_of(const std::string& service) const
 {
     region_load out;
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -107,9 +107,12 @@
     void update_shares();
 
     /// @brief Brings the rates that this VM may send to cold targets up to
-    /// date with the targets and VMs that are known.
+    /// date with the VMs that are known.
     void update_cold_rates();
 
+    /// @brief Sets the rate that this VM may send to a target, if it is cold.
+    void limit_if_cold(target& which);
+
     /// @brief Part of a service's requests that leaves the region.
     region_split& split(const std::string& service);
 
@@ -117,6 +120,7 @@
     void update_splits();
 
 private:
+    void limit_cold(target& which, const std::vector<std::string>& vms);
     region_load load_of(const std::string& service) const;
     double caller_part() const;
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -13,8 +13,16 @@
 
 using json = nlohmann::json;
 
-/// Silence after which a VM is not named to callers: five lost messages.
-constexpr duration silence_limit = std::chrono::milliseconds(2600);
+/// Time between two messages to each VM: at least this, and this much for each
+/// VM of the fleet, which is 30 messages a second. The longest bounds how late
+/// a dead VM is found: the directory may name it for 7 s.
+constexpr duration least_interval = std::chrono::milliseconds(500);
+constexpr duration interval_per_vm = std::chrono::milliseconds(33);
+constexpr duration longest_interval = std::chrono::seconds(2);
+/// Silence after which a VM is not named to callers: two lost messages, and
+/// five in a small fleet.
+constexpr duration least_silence = std::chrono::milliseconds(2600);
+constexpr double silent_intervals = 2.6;
 /// Most VMs that one lookup names.
 constexpr std::size_t most_named = 64;
 
@@ -128,15 +136,24 @@
     }
 }
 
-bool peer_table::silent(const peer& which, time_point now)
+duration peer_table::message_interval() const
 {
-    return now - std::max(which.heard, which.first_seen) > silence_limit;
+    return std::clamp(interval_per_vm * static_cast<std::int64_t>(size()),
+                      least_interval, longest_interval);
+}
+
+bool peer_table::silent(const peer& which, time_point now) const
+{
+    const auto limit = std::chrono::duration_cast<duration>(message_interval() *
+                                                            silent_intervals);
+    return now - std::max(which.heard, which.first_seen) >
+           std::max(least_silence, limit);
 }
 
 void peer_table::expire(time_point now)
 {
     std::erase_if(others_,
-                  [now](const auto& entry) {
+                  [this, now](const auto& entry) {
                       return !entry.second.listed && silent(entry.second, now);
                   });
 }
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -216,6 +216,7 @@
     if (answer_.warm_up_left)
     {
         target_->on_warm_up_left(*answer_.warm_up_left, now);
+        state_.limit_if_cold(*target_);
     }
     const bool queued = load_at_send_ >= target_->record().slots;
     if (result != attempt_result::answered || queued || target_->cold(now))
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -114,7 +114,6 @@
 void target_feed::on_listed()
 {
     listed_ = true;
-    state_.update_cold_rates();
     state_.place_all_waiting();
 }
 
@@ -177,9 +176,9 @@
         // order of the objects.
         state_.targets.find(entry.id)->skip_introduction();
     }
+    state_.limit_if_cold(*state_.targets.find(entry.id));
     if (added && listed_)
     {
-        state_.update_cold_rates();
         state_.place_waiting(entry.service);
     }
 }
