End a VM that overstays its grace time before the test world starts it again

Cause: gateway_world::start began the new process while the old one could still run and hold its ports, for instance one that was paused while it stopped; the new one then ended at once. The platform kills such a process after the grace time, and so does the test world now.

--- a/src/entry/entry_node_life.cpp
+++ b/src/entry/entry_node_life.cpp
@@ -95,8 +95,8 @@
 {
     // While the record without this VM comes into force, the others need its
     // evidence for the majority of the previous members.
-    const bool has_left = fleet->has_left() &&
-                          fleet->fleet_in_force(fleet->record_revision());
+    const bool has_left =
+        fleet->has_left() && fleet->fleet_in_force(fleet->record_revision());
     // A fleet that leaves as a whole has nobody to write such a record.
     return farewells == 0 && (has_left || fleet->all_leaving());
 }
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -129,6 +129,8 @@
         "--store=" + loopback(store_port_),
         "--domain_regions=zone-0=north,zone-1=north"};
     flags.insert(flags.end(), flags_.begin(), flags_.end());
+    // As the platform does after the grace time; it would keep the ports.
+    vms_[vm].reset();
     vms_[vm] = std::make_unique<processes::child>("siskinflow_gateway", flags,
                                                   logs_[vm]);
 }
