--- a/tests/lib/processes.cpp
+++ b/tests/lib/processes.cpp
@@ -4,10 +4,12 @@
 #include <csignal>
 #include <ctime>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <netinet/in.h>
 #include <optional>
 #include <random>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -164,6 +166,36 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
+namespace
+{
+
+/// Keeps a port for this process until it ends, by a lock on a file: programs
+/// under test leave their ports free while they restart, and other test
+/// processes must not choose them meanwhile.
+bool reserve_port(std::uint16_t port)
+{
+    const auto folder =
+        std::filesystem::temp_directory_path() / "siskinflow-test-ports";
+    std::error_code ignored;
+    std::filesystem::create_directory(folder, ignored);
+    const std::string file = (folder / std::to_string(port)).string();
+    constexpr mode_t owner_only = 0600;
+    const int descriptor =
+        ::open(file.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, owner_only);
+    if (descriptor < 0)
+    {
+        return false;
+    }
+    if (::flock(descriptor, LOCK_EX | LOCK_NB) != 0)
+    {
+        ::close(descriptor);
+        return false;
+    }
+    return true; // The descriptor stays open and holds the lock.
+}
+
+} // namespace
+
 std::vector<std::uint16_t> free_ports(std::size_t count)
 {
     // Below the ports that the kernel gives to outgoing connections: one of
@@ -179,15 +211,17 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(
-            static_cast<std::uint16_t>(first_port + random() % ports_tried));
-        if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+        const auto port =
+            static_cast<std::uint16_t>(first_port + random() % ports_tried);
+        address.sin_port = htons(port);
+        if (!reserve_port(port) ||
+            ::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
                    sizeof(address)) != 0)
         {
             ::close(descriptor);
             continue;
         }
-        ports.push_back(ntohs(address.sin_port));
+        ports.push_back(port);
         sockets.push_back(descriptor);
     }
     for (const int descriptor : sockets)
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -60,7 +60,8 @@
 int run(const std::string& program, const std::vector<std::string>& arguments,
         std::string& output);
 
-/// @brief Ports that were free at the time of the call.
+/// @brief Ports that were free at the time of the call. No other process is
+/// given one of them while this process lives.
 std::vector<std::uint16_t> free_ports(std::size_t count);
 
 /// @brief Blocking HTTP calls with a loop of their own.
