--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -385,7 +385,7 @@
 }
 
 /// Prints what is needed to trace a VM that does not serve.
-void tell_of_vms(gateway_world& world, const promise_checker& promises)
+void print_vm_states(gateway_world& world, const promise_checker& promises)
 {
     constexpr std::size_t tail_bytes = 2000;
     for (std::size_t vm = 0; vm < FLAGS_vms; ++vm)
@@ -435,7 +435,7 @@
     promises.require(recovered, {}, "no service after the last fault");
     if (!recovered)
     {
-        tell_of_vms(world, promises);
+        print_vm_states(world, promises);
     }
     load.stop();
     world.until([&] { return load.idle(); }, 5s);
