--- a/tests/process/gateway_faults_test.cpp
+++ b/tests/process/gateway_faults_test.cpp
@@ -5,26 +5,6 @@
 using namespace std::chrono_literals;
 using story::section;
 
-namespace
-{
-
-standin::platform_target_options named(const std::string& id)
-{
-    standin::platform_target_options out;
-    out.id = id;
-    return out;
-}
-
-void cut_store(gateway_world& world, bool is_cut)
-{
-    for (const auto which : {direction::to_server, direction::to_client})
-    {
-        world.store_link().cut(which, is_cut);
-    }
-}
-
-} // namespace
-
 // Guards against a request that is given up at a target that is slow but
 // answers others (LOST), and against waiting on one that is silent.
 Test(gateway_faults, an_overdue_attempt)
@@ -80,12 +60,12 @@
     world.configure();
     EXPECT(world.start_all());
     world.store_link().silence_open();
-    cut_store(world, true);
+    world.cut_store(true);
     world.run_for(3s);
     auto& second = world.add_target("maps", named("m2"));
     world.register_target("m1", "draining");
     world.run_for(1s);
-    cut_store(world, false);
+    world.cut_store(false);
     EXPECT(world.until(
         [&]
         {
--- a/tests/process/gateway_operations_test.cpp
+++ b/tests/process/gateway_operations_test.cpp
@@ -53,13 +53,6 @@
     return found.empty() ? log_line{} : found.front();
 }
 
-standin::platform_target_options named(const std::string& id)
-{
-    standin::platform_target_options out;
-    out.id = id;
-    return out;
-}
-
 caller_request order(const std::string& id)
 {
     caller_request out;
@@ -157,11 +150,7 @@
             [&]
             {
                 world.store_link().reset_open();
-                for (const auto which :
-                     {direction::to_server, direction::to_client})
-                {
-                    world.store_link().cut(which, true);
-                }
+                world.cut_store(true);
                 world.configure({{"prefix", "/plans/"}});
                 EXPECT(world.until(
                     [&] {
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -12,13 +12,6 @@
 
 constexpr std::chrono::milliseconds config_bound{2500};
 
-standin::platform_target_options named(const std::string& id)
-{
-    standin::platform_target_options out;
-    out.id = id;
-    return out;
-}
-
 int status(const net::fetch_result& got)
 {
     return got.outcome == net::call_outcome::complete ? got.response.status : 0;
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -36,6 +36,14 @@
     bool kept_connection = false; ///< One that served an earlier request.
 };
 
+/// @brief Options of an ordinary target with this id.
+inline standin::platform_target_options named(const std::string& id)
+{
+    standin::platform_target_options out;
+    out.id = id;
+    return out;
+}
+
 /// @brief How gateways are connected with callers, targets and the store.
 enum class link_kind : std::uint8_t
 {
@@ -125,6 +133,15 @@
         return *store_link_;
     }
 
+    /// @brief Cuts the store from all gateways of a proxied world, or heals it.
+    void cut_store(bool is_cut)
+    {
+        for (const auto which : {direction::to_server, direction::to_client})
+        {
+            store_link_->cut(which, is_cut);
+        }
+    }
+
     /// @brief Runs of a request id over all targets.
     int runs(const std::string& id) const;
 
