Keep the other rows of a policy when one can't be read

Any malformed row of routes, services or organisations had the same effect, and one malformed entry of a listing or watch held up all entries after it.

A row that can't be read is left out alone: a route or service keeps its row in force, an organisation keeps it with the keys of the new row only, so that a withdrawn key is never restored. Event 1212 and a counter report each such row.

--- a/include/siskinflow/gateway/record_format.hpp
+++ b/include/siskinflow/gateway/record_format.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <siskinflow/core/error.hpp>
-#include <siskinflow/gateway/policy.hpp>
+#include <siskinflow/gateway/policy_rows.hpp>
 #include <siskinflow/gateway/target_record.hpp>
 #include <siskinflow/store/lease_store.hpp>
 
@@ -23,7 +23,8 @@
 
 /// @brief Content of an operator entry; empty if it does not concern the
 /// gateway.
-using operator_record = std::variant<std::monostate, policy, evacuation>;
+using operator_record =
+    std::variant<std::monostate, policy_document, evacuation>;
 
 /// @brief Translates store entries into the types above, without making any
 /// decisions.
@@ -38,7 +39,8 @@
     /// @brief Prefix of the keys that targets write.
     virtual std::string target_prefix() const = 0;
 
-    /// @brief Parses an operator entry.
+    /// @brief Parses an operator entry. Rows of a policy that can't be read are
+    /// listed as problems and do not affect the others.
     /// @return the record, or `errc::parse_error` naming the field
     virtual result<operator_record>
     read_operator(const store_change& change) const = 0;
--- a/include/siskinflow/telemetry/event_id.hpp
+++ b/include/siskinflow/telemetry/event_id.hpp
@@ -70,6 +70,7 @@
     peer_changed = 1209,
     settings_reloaded = 1210,
     rate_share_changed = 1211,
+    policy_row_not_read = 1212,
 };
 
 /// @brief One row of the table, described in `docs/events.md`.
--- a/include/siskinflow/telemetry/metric_id.hpp
+++ b/include/siskinflow/telemetry/metric_id.hpp
@@ -56,6 +56,7 @@
     site_map_blocks,
     site_map_hash,
     site_map_load_failures,
+    policy_row_problems,
 };
 
 /// @brief One row of the table, described in `docs/metrics.md`.
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -53,7 +53,7 @@
                           {"reason", record.error().message}});
         return;
     }
-    if (auto* next = std::get_if<policy>(&record.value()))
+    if (auto* next = std::get_if<policy_document>(&record.value()))
     {
         on_policy(std::move(*next), change.revision);
     }
@@ -68,12 +68,34 @@
     state_.policy_confirmed = asked_at;
 }
 
-void operator_feed::on_policy(policy next, store_revision revision)
+void operator_feed::on_policy(policy_document next, store_revision revision)
 {
-    if (state_.apply_policy(std::move(next), revision))
+    keep_rows_in_force(
+        next, state_.policy == nullptr ? nullptr : &state_.policy->document());
+    if (!state_.apply_policy(std::move(next.policy), revision))
     {
-        state_.place_all_waiting();
+        return;
+    }
+    for (const row_problem& problem : next.problems)
+    {
+        log_problem(problem, revision);
     }
+    state_.place_all_waiting();
+}
+
+void operator_feed::log_problem(const row_problem& problem,
+                                store_revision revision)
+{
+    state_.metric_set
+        .counter(metric_id::policy_row_problems,
+                 {gateway::name(problem.handling)})
+        .add();
+    state_.log.write(event_id::policy_row_not_read,
+                     {{"revision", revision},
+                      {"table", gateway::name(problem.table)},
+                      {"item", problem.name},
+                      {"reason", problem.reason},
+                      {"handling", gateway::name(problem.handling)}});
 }
 
 void operator_feed::on_evacuation(const evacuation& change,
--- a/src/gateway/state_feed.hpp
+++ b/src/gateway/state_feed.hpp
@@ -42,7 +42,8 @@
     void on_confirmed(time_point asked_at) override;
 
 private:
-    void on_policy(policy next, store_revision revision);
+    void on_policy(policy_document next, store_revision revision);
+    void log_problem(const row_problem& problem, store_revision revision);
     void on_evacuation(const evacuation& change, store_revision revision);
 
     const record_format& records_;
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -72,6 +72,8 @@
 constexpr std::string_view settings_reloaded_fields[] = {"outcome"};
 constexpr std::string_view share_fields[] = {"organisation", "part", "previous",
                                              "vms"};
+constexpr std::string_view policy_row_fields[] = {"revision", "table", "item",
+                                                  "reason", "handling"};
 
 constexpr event_info table[] = {
     {event_id::started, "started", log_level::info, started_fields},
@@ -144,6 +146,8 @@
      settings_reloaded_fields},
     {event_id::rate_share_changed, "rate_share_changed", log_level::info,
      share_fields},
+    {event_id::policy_row_not_read, "policy_row_not_read", log_level::warning,
+     policy_row_fields},
 };
 
 } // namespace
--- a/src/telemetry/metric_id.cpp
+++ b/src/telemetry/metric_id.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view side_label[] = {"side"};
 constexpr std::string_view disposition_label[] = {"disposition"};
 constexpr std::string_view metric_label[] = {"metric"};
+constexpr std::string_view handling_label[] = {"handling"};
 constexpr std::span<const std::string_view> no_labels;
 
 using enum metric_id;
@@ -103,6 +104,9 @@
     {site_map_load_failures, "siskinflow_site_map_load_failures_total", counter,
      "attempts", reason_label,
      "Attempts to load a site map that failed; the one in use stays."},
+    {policy_row_problems, "siskinflow_policy_row_problems_total", counter,
+     "rows", handling_label,
+     "Rows of policies that could not be read as written."},
 };
 
 } // namespace
