Bound answers that never end

Cause: the HTTP client read heads, chunk sizes, chunk extensions and trailers without a limit until the deadline of the call, and a body above the limit of fetch was read and discarded until then.

Change: max_framing_bytes bounds what is not body; max_body_bytes of a request bounds the body. The call ends as broken before the head was complete and as truncated after it, so the attempt may have run and the target counts as failing.

net_client_faults/end_a_call_whose_answer_does_not_end fails with the limit raised to 2^40 and passes with it; a head of repeated interim answers ends the same way.

--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -44,6 +44,9 @@
     http_headers headers;     ///< Without framing and `host`.
     std::string body;
     bool fresh_connection = false; ///< Open a new connection for this call.
+    /// Bytes after which the body is cut and the call ends as `truncated`; 0
+    /// sets no limit.
+    std::size_t max_body_bytes = 0;
     duration connect_timeout = std::chrono::seconds(1);
     duration timeout = std::chrono::seconds(10); ///< For the whole call.
     /// Time after which TCP keepalive probes detect a vanished peer, in whole
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -77,6 +77,7 @@
 
 net::client_request request_flow::request_to(const target_choice& choice) const
 {
+    constexpr std::size_t max_answer_bytes = 32U << 20;
     constexpr duration connect_timeout_in_region =
         std::chrono::milliseconds(250);
     constexpr duration connect_timeout_other_region =
@@ -97,6 +98,7 @@
             ? connect_timeout_other_region
             : connect_timeout_in_region;
     out.timeout = remaining().deadline;
+    out.max_body_bytes = max_answer_bytes;
     return out;
 }
 
@@ -111,7 +113,6 @@
     status_ = 0;
     headers_ = {};
     body_.clear();
-    body_too_large_ = false;
     answer_fields_ = {};
     target_->on_sent(now);
     state_.queue_of(service_).on_placed(now);
@@ -137,13 +138,7 @@
 
 void request_flow::on_body(std::string_view part)
 {
-    constexpr std::size_t max_answer_bytes = 32U << 20;
-    body_too_large_ =
-        body_too_large_ || body_.size() + part.size() > max_answer_bytes;
-    if (!body_too_large_)
-    {
-        body_.append(part);
-    }
+    body_.append(part);
 }
 
 attempt_result request_flow::classify_outcome(net::call_outcome outcome) const
@@ -170,7 +165,7 @@
     constexpr int misdirected_status = 421;
     const bool other_request =
         !answer_fields_.id.empty() && answer_fields_.id != caller_fields_.id;
-    if (other_request || body_too_large_)
+    if (other_request)
     {
         return attempt_result::broken;
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -129,7 +129,6 @@
     int status_ = 0;
     net::http_headers headers_;
     std::string body_;
-    bool body_too_large_ = false;
     answer_fields answer_fields_;
     bool ended_ = false;
 };
--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -61,8 +61,10 @@
 
 } // namespace
 
-bool is_parsable_response_head(std::string_view received)
+bool is_parsable_response_head(std::string_view received, std::size_t max_bytes)
 {
+    const bool may_continue = received.size() <= max_bytes;
+    received = received.substr(0, max_bytes);
     framing_fields fields;
     bool is_status_line = true;
     while (!received.empty())
@@ -70,7 +72,7 @@
         const auto end = received.find('\n');
         if (end == std::string_view::npos)
         {
-            return true;
+            return may_continue;
         }
         const std::string_view line = trimmed(received.substr(0, end));
         received.remove_prefix(end + 1);
@@ -84,7 +86,7 @@
         }
         is_status_line = false;
     }
-    return true;
+    return may_continue;
 }
 
 } // namespace siskinflow::net
--- a/src/net/answer_head.hpp
+++ b/src/net/answer_head.hpp
@@ -2,6 +2,7 @@
 /// @brief Checks the head of an answer before h2o reads it; internal to `net`.
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace siskinflow::net
@@ -11,7 +12,9 @@
 /// ends the process if the length is no number or the encoding is unknown.
 /// @param received bytes from the start of the answer; the head may be
 /// incomplete
+/// @param max_bytes a longer head is refused
 /// @return true also for a head that is not complete yet
-bool is_parsable_response_head(std::string_view received);
+bool is_parsable_response_head(std::string_view received,
+                               std::size_t max_bytes);
 
 } // namespace siskinflow::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,6 +22,11 @@
 /// Shorter than the idle timeout of usual servers, so that a pooled
 /// connection is rarely found closed by the peer.
 constexpr std::uint64_t pool_idle_timeout_ms = 4000;
+/// Bytes of an answer that are not its body: a fixed amount for the head, the
+/// trailers and the chunk sizes, and an amount for each byte of the body. A
+/// chunk of one byte has six bytes of framing.
+constexpr std::size_t max_framing_bytes = 64U << 10;
+constexpr std::size_t framing_bytes_per_body_byte = 8;
 
 } // namespace
 
@@ -122,6 +127,9 @@
     void intercept_callbacks();
     void intercept_reads();
     bool is_head_parsable();
+    bool exceeds_framing_limit() const;
+    bool exceeds_body_limit() const;
+    void count_received();
     bool is_body_complete() const;
     void enable_keepalive_probes();
     void deliver_head(int status, const h2o_header_t* headers,
@@ -145,6 +153,9 @@
     h2o_socket_cb native_read_callback_ = nullptr;
     bool body_ends_on_close_ = false;  ///< No framing.
     const char* read_error_ = nullptr; ///< Null if none.
+    std::size_t received_bytes_ = 0;
+    std::size_t unread_bytes_ = 0; ///< Received, and left in h2o's buffer.
+    std::size_t body_bytes_ = 0;
     bool sent_ = false;
     bool head_received_ = false;
     bool in_callback_ = false;
@@ -330,6 +341,7 @@
 {
     const auto self = from_socket(socket)->shared_from_this();
     self->read_error_ = error;
+    self->count_received();
     if (!self->head_received_ && error == nullptr && !self->is_head_parsable())
     {
         self->cancel_native_call();
@@ -338,6 +350,36 @@
     }
     self->native_read_callback_(socket, error);
     self->intercept_reads();
+    if (self->client_ == nullptr || self->client_->sock == nullptr)
+    {
+        return;
+    }
+    self->unread_bytes_ = socket->input->size;
+    if (self->exceeds_framing_limit())
+    {
+        self->cancel_native_call();
+        self->end(self->head_received_ ? call_outcome::truncated
+                                       : call_outcome::broken);
+    }
+}
+
+void client_call::count_received()
+{
+    const std::size_t buffered = client_->sock->input->size;
+    received_bytes_ += buffered - std::min(buffered, unread_bytes_);
+}
+
+/// Bounds the answers that never end but have no body, or almost none.
+bool client_call::exceeds_framing_limit() const
+{
+    return received_bytes_ >
+           max_framing_bytes + body_bytes_ * (1 + framing_bytes_per_body_byte);
+}
+
+bool client_call::exceeds_body_limit() const
+{
+    return request_.max_body_bytes != 0 &&
+           body_bytes_ > request_.max_body_bytes;
 }
 
 /// A body without framing is complete when the peer closes the connection; any
@@ -352,7 +394,8 @@
 bool client_call::is_head_parsable()
 {
     const h2o_buffer_t* input = client_->sock->input;
-    return is_parsable_response_head({input->bytes, input->size});
+    return is_parsable_response_head({input->bytes, input->size},
+                                     max_framing_bytes);
 }
 
 void client_call::enable_keepalive_probes()
@@ -420,11 +463,18 @@
     if (error != nullptr)
     {
         self->client_ = nullptr;
-        const bool complete =
-            error == h2o_http1client_error_is_eos && self->is_body_complete();
+        const bool complete = error == h2o_http1client_error_is_eos &&
+                              self->is_body_complete() &&
+                              !self->exceeds_body_limit();
         self->end(complete ? call_outcome::complete : call_outcome::truncated);
         return 0;
     }
+    if (self->exceeds_body_limit())
+    {
+        self->client_ = nullptr;
+        self->end(call_outcome::truncated);
+        return -1;
+    }
     if (self->ended_)
     {
         self->client_ = nullptr;
@@ -462,6 +512,11 @@
         return;
     }
     const std::size_t size = input->size;
+    body_bytes_ += size;
+    if (exceeds_body_limit())
+    {
+        return;
+    }
     const auto observer = observer_;
     observer->on_body({input->bytes, size});
     h2o_buffer_consume(&input, size);
--- a/src/net/http_fetch.cpp
+++ b/src/net/http_fetch.cpp
@@ -38,9 +38,8 @@
 class buffering_observer final : public call_observer
 {
 public:
-    buffering_observer(std::size_t max_bytes,
-                       std::function<void(fetch_result)> done)
-        : max_bytes_(max_bytes), done_(std::move(done))
+    explicit buffering_observer(std::function<void(fetch_result)> done)
+        : done_(std::move(done))
     {
     }
 
@@ -53,27 +52,18 @@
 
     void on_body(std::string_view part) override
     {
-        if (result_.response.body.size() + part.size() > max_bytes_)
-        {
-            too_large_ = true;
-            return;
-        }
         result_.response.body += part;
     }
 
     void on_end(call_outcome outcome) override
     {
-        result_.outcome = too_large_ && outcome == call_outcome::complete
-                              ? call_outcome::truncated
-                              : outcome;
+        result_.outcome = outcome;
         done_(std::move(result_));
     }
 
 private:
-    std::size_t max_bytes_;
     std::function<void(fetch_result)> done_;
     fetch_result result_;
-    bool too_large_ = false;
 };
 
 } // namespace
@@ -82,9 +72,9 @@
                                  std::size_t max_bytes,
                                  std::function<void(fetch_result)> done)
 {
-    return caller.start(
-        std::move(request),
-        std::make_shared<buffering_observer>(max_bytes, std::move(done)));
+    request.max_body_bytes = max_bytes;
+    return caller.start(std::move(request),
+                        std::make_shared<buffering_observer>(std::move(done)));
 }
 
 } // namespace siskinflow::net
--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -79,6 +79,62 @@
     std::jthread worker_;
 };
 
+/// Answers one connection with a prefix, then repeats a text until the client
+/// closes the connection.
+class endless_response_server
+{
+public:
+    endless_response_server(std::string prefix, std::string repeated)
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+        ::listen(listener_, 1);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
+                      &length);
+        port_ = ntohs(address.sin_port);
+        worker_ = std::jthread(
+            [this, prefix = std::move(prefix), repeated = std::move(repeated)]
+            { serve(prefix, repeated); });
+    }
+
+    ~endless_response_server()
+    {
+        worker_.join();
+        ::close(listener_);
+    }
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+private:
+    void serve(const std::string& prefix, const std::string& repeated) const
+    {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        char buffer[2048];
+        (void)::recv(connection, buffer, sizeof(buffer), 0);
+        (void)::send(connection, prefix.data(), prefix.size(), MSG_NOSIGNAL);
+        std::string block;
+        while (block.size() < 4096)
+        {
+            block += repeated;
+        }
+        while (::send(connection, block.data(), block.size(), MSG_NOSIGNAL) > 0)
+        {
+        }
+        ::close(connection);
+    }
+
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::jthread worker_;
+};
+
 fetch_result fetch_response(event_loop& loop, http_client& client,
                             std::string answer, close_mode mode)
 {
@@ -152,6 +208,86 @@
             });
 }
 
+// Guards against a target that sends bytes without end: they would fill the
+// memory and keep the call until its deadline.
+Test(net_client_faults, end_a_call_whose_answer_does_not_end)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const auto outcome =
+        [&](const std::string& prefix, const std::string& repeated)
+    {
+        const endless_response_server server(prefix, repeated);
+        client_request request;
+        request.peer = {"127.0.0.1", server.port()};
+        request.timeout = 5s;
+        std::optional<fetch_result> fetched;
+        const auto call =
+            fetch(client, request, 1 << 20,
+                  [&](fetch_result value) { fetched = std::move(value); });
+        while (!fetched)
+        {
+            loop.run_once(5ms);
+        }
+        return fetched->outcome;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "transfer-encoding: chunked\r\n\r\n";
+    struct endless_answer
+    {
+        const char* name;
+        std::string prefix;
+        std::string repeated;
+    };
+    const endless_answer heads[] = {
+        {"bytes before the status line", "", "x"},
+        {"empty lines before the status line", "", "\r\n"},
+        {"a status line", "HTTP/1.1 200 ", "O"},
+        {"a header line", ok + "a: ", "b"},
+        {"header lines", ok, "a: b\r\n"},
+        {"interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n"}};
+    for (const endless_answer& answer : heads)
+    {
+        section(answer.name,
+                [&] {
+                    EXPECT(outcome(answer.prefix, answer.repeated) ==
+                           call_outcome::broken);
+                });
+    }
+    const endless_answer bodies[] = {
+        {"the size of a chunk", chunked, "0"},
+        {"an extension of a chunk", chunked + "2;", "x"},
+        {"trailers", chunked + "0\r\n", "a: b\r\n"},
+        {"chunks", chunked, "1\r\nx\r\n"},
+        {"a body without a length", ok + "\r\n", "x"}};
+    for (const endless_answer& answer : bodies)
+    {
+        section(answer.name,
+                [&]
+                {
+                    EXPECT(outcome(answer.prefix, answer.repeated) ==
+                           call_outcome::truncated);
+                });
+    }
+}
+
+// Guards against an interim head that is taken for the answer.
+Test(net_client_faults, skip_interim_heads)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const auto fetched =
+        fetch_response(loop, client,
+                       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                       "content-length: 5\r\n\r\nwhole",
+                       close_mode::close);
+    EXPECT(fetched.outcome == call_outcome::complete);
+    EXPECT(fetched.response.status == 200);
+    EXPECT(fetched.response.body == "whole");
+}
+
 // Guards against a truncated or changed head that ends the process.
 Test(net_client_faults, survive_mutated_heads)
 {
