Read the store through one VM of each larger failure domain

Cause: each VM held three watches at the store.

Change: in failure domains of four VMs or more, the first serving VM reads the store and answers the others from a log of its mirrors, by waiting requests of one second. It refuses while its own calls fail, when its lease was not confirmed for two seconds, or when it is not the first. A reader whose relay fails, does not answer within 1.4 s or knows less than the reader asks the store at once and pauses the relay for five seconds. Operators' entries are read directly under a revocation limit.

gateway_relay shows a reader that follows two changes with at most three calls at the store, all of them of the relay, and that is current within 2.5 s when the relay refuses, is silent, unreachable or behind; 36 gateway tests pass.

--- a/include/siskinflow/control/message_type.hpp
+++ b/include/siskinflow/control/message_type.hpp
@@ -35,6 +35,8 @@
     counters_bundle = 14,
     peer_state = 15,
     domain_state = 16,
+    store_changes_request = 17,
+    store_changes = 18,
 };
 
 /// @brief Name of a message type in snake_case, "unknown" if undefined.
--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -197,6 +197,13 @@
     /// the VMs that accept callers and are heard.
     bool sums_up_domain(time_point now) const;
 
+    /// @brief Message address of the VM of this failure domain that reads the
+    /// store for the others: the first by name that accepts callers and is
+    /// heard.
+    /// @return empty if this VM reads the store itself, because it is the one
+    /// or the domain is small
+    std::optional<net::endpoint> store_relay(time_point now) const;
+
     /// @brief Message address of one VM in each other failure domain.
     /// @param round chooses another VM of the domain each time, so that one
     /// that is dead or cut off loses few messages
@@ -246,6 +253,7 @@
     {
         return record.failure_domain == self_.failure_domain;
     }
+    const peer* first_in_domain(time_point now) const;
     duration silence_limit(const vm_record& record) const;
     bool silent(const peer& entry, time_point now) const;
     std::size_t domain_size() const;
--- a/include/siskinflow/store/lease_keeper.hpp
+++ b/include/siskinflow/store/lease_keeper.hpp
@@ -36,6 +36,10 @@
     /// @brief Takes a lease and writes the key.
     void start();
 
+    /// @brief When the last call that the store answered was sent; the start of
+    /// the clock if there was none.
+    time_point answered_at() const;
+
     /// @brief Removes the key and stops renewing.
     void stop();
 
--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -29,6 +29,7 @@
     std::vector<store_change> entries;
     /// Every change up to this revision is in this or an earlier page.
     store_revision revision = 0;
+    bool relayed = false; ///< Read through another VM, free of charge.
 };
 
 /// @brief A lease; keys written under it are removed when it ends.
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -24,8 +24,12 @@
     /// order; versions in between may be left out.
     virtual void on_change(const store_change& change) = 0;
 
-    /// @brief All changes up to the time of a request have been reported.
-    virtual void on_confirmed(time_point /*request_time*/) {}
+    /// @brief All changes up to the time of a request, and up to a revision,
+    /// have been reported.
+    virtual void on_confirmed(time_point /*request_time*/,
+                              store_revision /*revision*/)
+    {
+    }
 
     /// @brief All keys of a listing have been reported.
     virtual void on_listed() = 0;
@@ -44,6 +48,8 @@
     /// Delay between a change and the next watch, so that changes in quick
     /// succession arrive with one call.
     duration batch_delay{0};
+    /// The same for changes that were read through another VM.
+    duration relayed_batch_delay{0};
     /// Maximum wait of one watch. The platform's store allows 30 s.
     duration max_watch_wait = std::chrono::seconds(25);
 };
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,7 +1,9 @@
 #include "gateway_state.hpp"
 #include "peer_exchange.hpp"
+#include "relayed_store.hpp"
 #include "request_flow.hpp"
 #include "state_feed.hpp"
+#include "store_relay.hpp"
 #include <siskinflow/core/ids.hpp>
 #include <siskinflow/entry/vm_lifecycle.hpp>
 #include <siskinflow/gateway/gateway_node.hpp>
@@ -23,6 +25,11 @@
 constexpr duration operator_watch_delay = std::chrono::milliseconds(150);
 constexpr duration target_watch_delay = std::chrono::milliseconds(1000);
 constexpr duration vm_watch_delay = std::chrono::milliseconds(1500);
+/// The same for changes that another VM of the failure domain passes on.
+constexpr duration relayed_watch_delay = std::chrono::milliseconds(50);
+/// Time since the last call that the store answered up to which this VM passes
+/// changes on. A change must be in force on all VMs within 2.5 s.
+constexpr duration max_store_silence = std::chrono::seconds(2);
 /// Time between two attempts to place waiting requests, for room that becomes
 /// free without an answer to this VM's own requests.
 constexpr duration placement_interval = std::chrono::milliseconds(25);
@@ -56,7 +63,7 @@
 mirror_options operator_options(const gateway_settings& settings)
 {
     constexpr int watches_per_limit = 3;
-    mirror_options out{operator_watch_delay};
+    mirror_options out{operator_watch_delay, relayed_watch_delay};
     if (settings.revocation_limit)
     {
         out.max_watch_wait = std::min(
@@ -79,19 +86,34 @@
                 std::move(settings)),
           operators(state, platform_in.records),
           registrations(state, platform_in.records), vms(state),
-          operator_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
+          recorded_operators(operator_log, operators),
+          recorded_registrations(target_log, registrations),
+          recorded_vms(vm_log, vms),
+          shared_reads(loop_in, http_client, platform_in.store, incarnation,
+                       [this] { return state.peers.store_relay(state.now()); }),
+          operator_mirror(operator_store(), loop_in.timers(), loop_in.time(),
                           platform_in.records.operator_prefix(),
-                          operator_options(state.settings), operators),
-          target_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
+                          operator_options(state.settings), recorded_operators),
+          target_mirror(shared_reads, loop_in.timers(), loop_in.time(),
                         platform_in.records.target_prefix(),
-                        {target_watch_delay}, registrations),
-          vm_mirror(platform_in.store, loop_in.timers(), loop_in.time(),
-                    vm_prefix, {vm_watch_delay}, vms),
+                        {target_watch_delay, relayed_watch_delay},
+                        recorded_registrations),
+          vm_mirror(shared_reads, loop_in.timers(), loop_in.time(), vm_prefix,
+                    {vm_watch_delay, relayed_watch_delay}, recorded_vms),
           registration(platform_in.store, loop_in.timers(), loop_in.time(),
                        vm_prefix + state.settings.self.name,
                        to_json(state.settings.self), registration_ttl),
-          peer_messages(state, incarnation, [this] { return ready(); })
+          peer_messages(state, incarnation, [this] { return ready(); }),
+          relay(loop_in, incarnation, [this] { return passes_changes_on(); })
     {
+        relay.add(platform_in.records.operator_prefix(), operator_log);
+        relay.add(platform_in.records.target_prefix(), target_log);
+        relay.add(vm_prefix, vm_log);
+        for (recording_listener* recorded :
+             {&recorded_operators, &recorded_registrations, &recorded_vms})
+        {
+            recorded->on_recorded([this] { relay.on_recorded(); });
+        }
     }
 
     net::event_loop& loop;
@@ -100,16 +122,24 @@
     event_log log;
     metrics metric_set;
     gateway_state state;
+    incarnation_id incarnation = make_incarnation_id();
     operator_feed operators;
     target_feed registrations;
     vm_feed vms;
+    change_log operator_log;
+    change_log target_log;
+    change_log vm_log;
+    recording_listener recorded_operators;
+    recording_listener recorded_registrations;
+    recording_listener recorded_vms;
+    relayed_store shared_reads;
     store_mirror operator_mirror;
     store_mirror target_mirror;
     store_mirror vm_mirror;
     lease_keeper registration;
     vm_lifecycle lifecycle;
-    incarnation_id incarnation = make_incarnation_id();
     peer_exchange peer_messages;
+    store_relay relay;
     std::unique_ptr<net::http_server> requests;
     std::unique_ptr<net::http_server> readiness;
     std::unique_ptr<net::http_server> directory;
@@ -126,6 +156,26 @@
                state.accepts_keys();
     }
 
+    /// With a revocation limit, each VM needs the store's own confirmation.
+    lease_store& operator_store()
+    {
+        if (state.settings.revocation_limit)
+        {
+            return platform.store;
+        }
+        return shared_reads;
+    }
+
+    /// Whether this VM reads the store itself and knows the latest changes.
+    bool passes_changes_on() const
+    {
+        const bool store_silent =
+            state.now() - registration.answered_at() > max_store_silence;
+        return state.peers.sums_up_domain(state.now()) && !store_silent &&
+               !operator_mirror.unavailable() && !target_mirror.unavailable() &&
+               !vm_mirror.unavailable();
+    }
+
     result<void> listen();
     void start_tasks();
     void update_readiness();
@@ -174,6 +224,11 @@
                   {{"purpose", entry.purpose},
                    {"address", net::to_string(entry.address)}});
     }
+    const auto relaying = relay.listen(settings.self.peers);
+    if (!relaying)
+    {
+        return relaying.error();
+    }
     return peer_messages.listen();
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -34,6 +34,9 @@
 /// needs to replace the VM that sums it up.
 constexpr duration domain_silence_limit = std::chrono::milliseconds(5200);
 constexpr duration sender_silence_limit = std::chrono::milliseconds(2600);
+/// VMs of a failure domain from which one reads the store for the others. In a
+/// smaller domain few calls are saved, and changes arrive later.
+constexpr std::size_t min_relayed_domain_size = 4;
 /// Maximum number of VMs that one lookup returns.
 constexpr std::size_t max_lookup_vms = 64;
 
@@ -304,18 +307,37 @@
     return out;
 }
 
-bool peer_table::sums_up_domain(time_point now) const
+/// The first other VM of the domain, by name, that accepts callers and is
+/// heard; null if there is none.
+const peer_table::peer* peer_table::first_in_domain(time_point now) const
 {
-    return serving_ && std::none_of(peers_.begin(), peers_.end(),
+    const auto found = std::find_if(peers_.begin(), peers_.end(),
                                     [&](const auto& item)
                                     {
-                                        const auto& [name, entry] = item;
-                                        return name < self_.name &&
-                                               in_own_domain(entry.record) &&
+                                        const peer& entry = item.second;
+                                        return in_own_domain(entry.record) &&
                                                summed_up(entry.record) &&
                                                entry.serving &&
                                                !silent(entry, now);
                                     });
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
+bool peer_table::sums_up_domain(time_point now) const
+{
+    const peer* first = first_in_domain(now);
+    return serving_ && (first == nullptr || self_.name < first->record.name);
+}
+
+std::optional<net::endpoint> peer_table::store_relay(time_point now) const
+{
+    const peer* first = first_in_domain(now);
+    if (first == nullptr || sums_up_domain(now) ||
+        domain_size() < min_relayed_domain_size)
+    {
+        return std::nullopt;
+    }
+    return first->record.peers;
 }
 
 /// VMs that are not heard are used if no other is known: two domains that lost
--- /dev/null
+++ b/src/gateway/relayed_store.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// @brief Reads the store through another VM of the failure domain; internal to
+/// the gateway.
+#pragma once
+
+#include <siskinflow/core/ids.hpp>
+#include <siskinflow/gateway/relay_messages.hpp>
+#include <siskinflow/net/event_loop.hpp>
+#include <siskinflow/net/http_client.hpp>
+#include <siskinflow/store/lease_store.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Client of the store that reads from a relay while there is one and
+/// from the store itself otherwise. Writes and leases go to the store.
+///
+/// A relay that fails, refuses or knows less than this VM is not asked again
+/// for some seconds, and the store is asked in its place at once.
+class relayed_store final : public lease_store
+{
+public:
+    /// @brief Chooses the relay; empty to ask the store.
+    using relay_choice = std::function<std::optional<net::endpoint>()>;
+
+    /// @param loop runs the calls; must outlive the store
+    /// @param caller makes the calls to relays; must outlive the store
+    /// @param direct the store itself; must outlive this object
+    relayed_store(net::event_loop& loop, net::http_caller& caller,
+                  lease_store& direct, const incarnation_id& self,
+                  relay_choice choose);
+    ~relayed_store() override;
+
+    void list(std::string prefix, duration timeout,
+              callback<store_page> done) override;
+    void await_changes(std::string prefix, store_revision after, duration wait,
+                       callback<store_page> done) override;
+    void grant_lease(duration ttl, duration timeout,
+                     callback<store_lease> done) override;
+    void renew_lease(std::uint64_t id, duration timeout,
+                     callback<void> done) override;
+    void end_lease(std::uint64_t id, duration timeout,
+                   callback<void> done) override;
+    void put(std::string key, std::string value, std::uint64_t lease,
+             duration timeout, callback<void> done) override;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace siskinflow::gateway
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -63,7 +63,8 @@
     }
 }
 
-void operator_feed::on_confirmed(time_point asked_at)
+void operator_feed::on_confirmed(time_point asked_at,
+                                 store_revision /*revision*/)
 {
     state_.policy_confirmed = asked_at;
 }
--- a/src/gateway/state_feed.hpp
+++ b/src/gateway/state_feed.hpp
@@ -39,7 +39,7 @@
 public:
     operator_feed(gateway_state& state, const record_format& records);
     void on_change(const store_change& change) override;
-    void on_confirmed(time_point asked_at) override;
+    void on_confirmed(time_point asked_at, store_revision revision) override;
 
 private:
     void on_policy(policy_document next, store_revision revision);
--- /dev/null
+++ b/src/gateway/store_relay.cpp
@@ -0,0 +1,167 @@
+#include "store_relay.hpp"
+
+#include <siskinflow/control/codec.hpp>
+
+#include <algorithm>
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Time between two checks of the waiting requests. They end within this time
+/// once this VM may have missed a change.
+constexpr duration check_interval = std::chrono::milliseconds(100);
+constexpr std::size_t max_connections = 512;
+constexpr std::size_t max_request_bytes = 1024;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_stale = 410;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+store_changes to_message(const store_page& page)
+{
+    store_changes out;
+    out.revision = static_cast<std::uint64_t>(page.revision);
+    out.entries.reserve(page.entries.size());
+    for (const store_change& entry : page.entries)
+    {
+        out.entries.push_back({entry.key, entry.value,
+                               static_cast<std::uint64_t>(entry.revision),
+                               entry.removed});
+    }
+    return out;
+}
+
+store_page to_page(store_changes message)
+{
+    store_page out;
+    out.revision = static_cast<store_revision>(message.revision);
+    out.entries.reserve(message.entries.size());
+    for (relayed_change& entry : message.entries)
+    {
+        out.entries.push_back({std::move(entry.key), std::move(entry.value),
+                               static_cast<store_revision>(entry.revision),
+                               entry.removed});
+    }
+    return out;
+}
+
+store_relay::store_relay(net::event_loop& loop, const incarnation_id& self,
+                         std::function<bool()> current)
+    : loop_(loop), self_(self), current_(std::move(current))
+{
+}
+
+result<void> store_relay::listen(const net::endpoint& address)
+{
+    net::http_server_options options;
+    options.max_body_bytes = max_request_bytes;
+    options.max_connections = max_connections;
+    auto opened = net::http_server::listen(
+        loop_, address, options,
+        [this](const net::exchange_ptr& exchange) { on_request(exchange); });
+    if (!opened)
+    {
+        return opened.error();
+    }
+    server_ = std::move(opened).value();
+    timer_ = loop_.every(check_interval, [this] { on_recorded(); });
+    return ok();
+}
+
+void store_relay::add(std::string prefix, const change_log& log)
+{
+    logs_[std::move(prefix)] = &log;
+}
+
+void store_relay::on_request(const net::exchange_ptr& exchange)
+{
+    const auto envelope =
+        control::decode_header(exchange->request().body, max_request_bytes);
+    if (!envelope)
+    {
+        refuse(exchange, status_bad_request);
+        return;
+    }
+    auto message =
+        control::decode_payload<store_changes_request>(envelope.value());
+    if (!message || logs_.count(message.value().prefix) == 0)
+    {
+        refuse(exchange, status_bad_request);
+        return;
+    }
+    const time_point ends_at =
+        loop_.now() + std::chrono::milliseconds(message.value().wait_ms);
+    if (!answer(exchange, message.value(), ends_at > loop_.now()))
+    {
+        waiting_.push_back({exchange, std::move(message).value(), ends_at});
+    }
+}
+
+bool store_relay::answer(const net::exchange_ptr& exchange,
+                         const store_changes_request& message, bool may_wait)
+{
+    const change_log& log = *logs_.at(message.prefix);
+    if (log.revision() == 0 || !current_())
+    {
+        refuse(exchange, status_unavailable);
+        return true;
+    }
+    if (message.list)
+    {
+        respond(exchange, log.listing());
+        return true;
+    }
+    const auto after = static_cast<store_revision>(message.after);
+    const auto page = log.changes_after(after);
+    // A page of an earlier revision would take the reader back.
+    const bool nothing_new =
+        page && (page.value().entries.empty() || page.value().revision < after);
+    if (nothing_new && may_wait)
+    {
+        return false;
+    }
+    if (page && page.value().revision < after)
+    {
+        refuse(exchange, status_unavailable);
+        return true;
+    }
+    respond(exchange, page);
+    return true;
+}
+
+void store_relay::on_recorded()
+{
+    const time_point now = loop_.now();
+    waiting_.remove_if(
+        [&](const waiting_request& entry)
+        {
+            return entry.exchange->done() ||
+                   answer(entry.exchange, entry.message, entry.ends_at > now);
+        });
+}
+
+void store_relay::respond(const net::exchange_ptr& exchange,
+                          const result<store_page>& page)
+{
+    if (!page)
+    {
+        refuse(exchange, status_stale);
+        return;
+    }
+    exchange->respond({status_ok,
+                       {{"content-type", "application/octet-stream"}},
+                       control::encode(self_, to_message(page.value()))});
+}
+
+void store_relay::refuse(const net::exchange_ptr& exchange, int status)
+{
+    exchange->respond({status, {}, {}});
+}
+
+} // namespace siskinflow::gateway
--- a/src/store/lease_keeper.cpp
+++ b/src/store/lease_keeper.cpp
@@ -35,11 +35,14 @@
     std::uint64_t lease_id = 0; ///< 0: no lease is held.
     bool stopped = false;
     bool failing = false;
+    time_point call_sent_at{};
+    time_point answered_at{}; ///< When the last answered call was sent.
     std::function<void(const error&)> on_unavailable;
     std::function<void()> on_recovered;
 
     void request_lease()
     {
+        call_sent_at = time.now();
         client.grant_lease(
             ttl, call_timeout,
             [self = shared_from_this()](const result<store_lease>& granted)
@@ -65,6 +68,7 @@
 
     void write_key()
     {
+        call_sent_at = time.now();
         client.put(key, value, lease_id, call_timeout,
                    [self = shared_from_this()](const result<void>& written)
                    { self->on_written(written); });
@@ -89,6 +93,7 @@
 
     void renew()
     {
+        call_sent_at = time.now();
         client.renew_lease(
             lease_id, call_timeout,
             [self = shared_from_this()](const result<void>& renewed)
@@ -113,6 +118,7 @@
     {
         const bool answered = reply || reply.error().code == errc::not_found;
         const bool was_failing = std::exchange(failing, !answered);
+        answered_at = answered ? call_sent_at : answered_at;
         if (stopped || failing == was_failing)
         {
             return;
@@ -187,6 +193,11 @@
     impl_->request_lease();
 }
 
+time_point lease_keeper::answered_at() const
+{
+    return impl_->answered_at;
+}
+
 void lease_keeper::stop()
 {
     impl_->stopped = true;
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -82,7 +82,7 @@
         remove_missing(page.value());
         apply(page.value());
         has_listed = true;
-        listener->on_confirmed(request_time);
+        listener->on_confirmed(request_time, revision);
         listener->on_listed();
         watch_changes();
     }
@@ -105,13 +105,15 @@
         }
         on_success();
         apply(page.value());
-        listener->on_confirmed(request_time);
+        listener->on_confirmed(request_time, revision);
         if (page.value().entries.empty())
         {
             watch_changes();
             return;
         }
-        schedule(options.batch_delay, &impl::watch_changes);
+        schedule(page.value().relayed ? options.relayed_batch_delay
+                                      : options.batch_delay,
+                 &impl::watch_changes);
     }
 
     void schedule(duration delay, void (impl::*next)())
--- /dev/null
+++ b/tests/unit/gateway_relay_test.cpp
@@ -0,0 +1,341 @@
+#include "gateway/relayed_store.hpp"
+#include "gateway/store_relay.hpp"
+#include "kv_service.hpp"
+#include "kv_store.hpp"
+#include "test_sections.hpp"
+#include <siskinflow/net/http_server.hpp>
+#include <siskinflow/store/change_log.hpp>
+#include <siskinflow/store/store_mirror.hpp>
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <optional>
+
+using namespace siskinflow;
+using namespace siskinflow::gateway;
+using namespace std::chrono_literals;
+using test_sections::section;
+
+namespace
+{
+
+/// Copies mirrored entries into a map and checks that no key goes back.
+class map_listener final : public mirror_listener
+{
+public:
+    void on_change(const store_change& change) override
+    {
+        store_revision& last = revisions[change.key];
+        went_back = went_back || change.revision < last;
+        last = change.revision;
+        if (change.removed)
+        {
+            values.erase(change.key);
+        }
+        else
+        {
+            values[change.key] = change.value;
+        }
+    }
+    void on_listed() override
+    {
+        listed = true;
+    }
+    void on_unavailable(const error& /*reason*/) override {}
+    void on_available(duration /*down*/) override {}
+
+    std::map<std::string, std::string> values;
+    std::map<std::string, store_revision> revisions;
+    bool went_back = false;
+    bool listed = false;
+};
+
+net::endpoint free_address(net::event_loop& loop)
+{
+    const auto probe = net::http_server::listen(
+        loop, {"127.0.0.1", 0}, {}, [](const net::exchange_ptr&) {});
+    return {"127.0.0.1", probe.value()->port()};
+}
+
+/// The store stand-in, a VM that relays it and one that reads through the
+/// relay.
+struct relay_fixture
+{
+    relay_fixture()
+        : service(time),
+          store_server(std::move(
+              net::http_server::listen(loop, {"127.0.0.1", 0}, {},
+                                       [this](const net::exchange_ptr& call)
+                                       { service.handle(call); })
+                  .value())),
+          caller(loop), direct(caller, {"127.0.0.1", store_server->port()}),
+          recorded(log, relay_listener),
+          relay_mirror(direct, loop.timers(), time, "a/", {10ms}, recorded),
+          relay(loop, incarnation_id{1, 1}, [this] { return relay_current; }),
+          reads(loop, caller, direct, incarnation_id{2, 2},
+                [this] { return relay_address; }),
+          mirror(reads, loop.timers(), time, "a/", {10ms, 5ms}, listener),
+          tick_timer(loop.every(20ms, [this] { service.tick(); }))
+    {
+        relay.add("a/", log);
+        recorded.on_recorded([this] { relay.on_recorded(); });
+    }
+
+    /// Starts the relay on a free port, and both mirrors.
+    void start()
+    {
+        const net::endpoint address = free_address(loop);
+        EXPECT(relay.listen(address).has_value());
+        relay_address = address;
+        relay_mirror.start();
+        EXPECT(run_until([&] { return relay_listener.listed; }));
+        mirror.start();
+        EXPECT(run_until([&] { return listener.listed; }));
+    }
+
+    bool run_until(const std::function<bool()>& condition, duration limit = 8s)
+    {
+        const time_point end = time.now() + limit;
+        while (!condition() && time.now() < end)
+        {
+            loop.run_once(5ms);
+        }
+        return condition();
+    }
+
+    /// Writes a value and waits until the reader has it.
+    bool arrives(const std::string& key, const std::string& value,
+                 duration limit = 8s)
+    {
+        service.put(key, value);
+        return run_until([&] { return listener.values[key] == value; }, limit);
+    }
+
+    std::uint64_t store_calls() const
+    {
+        std::uint64_t out = 0;
+        for (const auto& [kind, count] : service.calls())
+        {
+            out += count;
+        }
+        return out;
+    }
+
+    boot_clock time;
+    net::event_loop loop{time};
+    bool relay_current = true;
+    std::optional<net::endpoint> relay_address;
+    standin::kv_service service;
+    std::unique_ptr<net::http_server> store_server;
+    net::http_client caller;
+    platform::kv_store direct;
+    change_log log;
+    map_listener relay_listener;
+    recording_listener recorded;
+    store_mirror relay_mirror;
+    store_relay relay;
+    relayed_store reads;
+    map_listener listener;
+    store_mirror mirror;
+    std::shared_ptr<void> tick_timer;
+};
+
+/// A server that accepts connections and never answers.
+struct silent_server
+{
+    explicit silent_server(net::event_loop& loop)
+        : server(std::move(
+              net::http_server::listen(loop, {"127.0.0.1", 0}, {},
+                                       [this](const net::exchange_ptr& call)
+                                       { calls.push_back(call); })
+                  .value()))
+    {
+    }
+
+    std::vector<net::exchange_ptr> calls;
+    std::unique_ptr<net::http_server> server;
+};
+
+/// Time within which changes must be in force although a relay fails.
+constexpr duration config_limit = 2500ms;
+
+} // namespace
+
+// Guards against each VM of a failure domain calling the store for every
+// change, which grows with the number of VMs.
+Test(gateway_relay, a_reader_follows_the_relay_without_calling_the_store)
+{
+    relay_fixture fixture;
+    fixture.service.put("a/1", "one");
+    fixture.service.put("b/1", "other");
+    fixture.start();
+    EXPECT(fixture.listener.values.size() == 1);
+    const std::uint64_t calls_before = fixture.store_calls();
+    EXPECT(fixture.arrives("a/2", "two", 500ms));
+    fixture.service.remove("a/1");
+    EXPECT(fixture.run_until(
+        [&] { return fixture.listener.values.count("a/1") == 0; }, 500ms));
+    // The relay's own watches: one for each of the two changes, and the next.
+    EXPECT(fixture.store_calls() - calls_before <= 3);
+    EXPECT(!fixture.listener.went_back);
+}
+
+// Guards against a reader that stays outdated, or goes back to an earlier
+// state, because its relay fails.
+Test(gateway_relay, a_reader_asks_the_store_when_the_relay_fails)
+{
+    section("the relay refuses, because it may not know the latest changes",
+            [&]
+            {
+                relay_fixture fixture;
+                fixture.start();
+                fixture.relay_current = false;
+                EXPECT(fixture.arrives("a/1", "new", config_limit));
+            });
+    section("the relay does not answer",
+            [&]
+            {
+                relay_fixture fixture;
+                fixture.start();
+                const silent_server silent(fixture.loop);
+                fixture.relay_address = {"127.0.0.1", silent.server->port()};
+                EXPECT(
+                    fixture.run_until([&] { return !silent.calls.empty(); }));
+                EXPECT(fixture.arrives("a/1", "new", config_limit));
+            });
+    section("the relay can't be reached",
+            [&]
+            {
+                relay_fixture fixture;
+                fixture.start();
+                fixture.relay_address = {"127.0.0.1", 1};
+                EXPECT(fixture.arrives("a/1", "new", config_limit));
+            });
+    section("the relay knows less than the reader",
+            [&]
+            {
+                relay_fixture fixture;
+                fixture.service.put("a/1", "old");
+                fixture.start();
+                change_log behind = fixture.log;
+                store_relay older(fixture.loop, incarnation_id{3, 3},
+                                  [] { return true; });
+                older.add("a/", behind);
+                const net::endpoint address = free_address(fixture.loop);
+                EXPECT(older.listen(address).has_value());
+                EXPECT(fixture.arrives("a/1", "new"));
+                fixture.relay_address = address;
+                EXPECT(fixture.arrives("a/1", "newer", config_limit));
+                fixture.service.compact();
+                EXPECT(fixture.arrives("a/2", "two", config_limit));
+                EXPECT(!fixture.listener.went_back);
+                EXPECT(fixture.listener.values["a/1"] == "newer");
+            });
+    section("the relay works again later",
+            [&]
+            {
+                relay_fixture fixture;
+                fixture.start();
+                fixture.relay_current = false;
+                EXPECT(fixture.arrives("a/1", "new", config_limit));
+                fixture.relay_current = true;
+                EXPECT(fixture.arrives("a/1", "newer", config_limit));
+            });
+}
+
+// Guards against removals that a reader never learns of.
+Test(gateway_relay, a_log_brings_any_reader_up_to_date)
+{
+    cr_assert(rc::check(
+        "changes since a revision lead to the same entries",
+        []
+        {
+            change_log log;
+            std::map<std::string, std::string> entries;
+            std::vector<std::map<std::string, std::string>> history;
+            const auto count = *rc::gen::inRange(1, 60);
+            log.confirm(1);
+            history.resize(2);
+            for (int i = 0; i < count; ++i)
+            {
+                const auto revision = static_cast<store_revision>(i + 2);
+                const std::string key = std::to_string(*rc::gen::inRange(0, 8));
+                const bool removed =
+                    entries.count(key) != 0 && *rc::gen::arbitrary<bool>();
+                const std::string value = std::to_string(i);
+                log.record({key, removed ? "" : value, revision, removed});
+                log.confirm(revision);
+                if (removed)
+                {
+                    entries.erase(key);
+                }
+                else
+                {
+                    entries[key] = value;
+                }
+                history.push_back(entries);
+            }
+            const auto known =
+                *rc::gen::inRange<std::size_t>(1, history.size());
+            std::map<std::string, std::string> reader = history[known];
+            const auto page =
+                log.changes_after(static_cast<store_revision>(known));
+            RC_ASSERT(page.has_value());
+            for (const store_change& change : page.value().entries)
+            {
+                if (change.removed)
+                {
+                    reader.erase(change.key);
+                }
+                else
+                {
+                    reader[change.key] = change.value;
+                }
+            }
+            RC_ASSERT(reader == entries);
+        }));
+    section("a revision before the first listing",
+            [&]
+            {
+                change_log log;
+                log.confirm(100);
+                EXPECT(log.changes_after(99).error().code == errc::stale);
+                EXPECT(log.changes_after(100).has_value());
+            });
+    section("more removals than are kept",
+            [&]
+            {
+                change_log log;
+                log.confirm(1);
+                for (store_revision revision = 2; revision < 6000; ++revision)
+                {
+                    log.record({std::to_string(revision), {}, revision, true});
+                    log.confirm(revision);
+                }
+                EXPECT(log.changes_after(2).error().code == errc::stale);
+                EXPECT(log.changes_after(5900).value().entries.size() == 99);
+            });
+}
+
+// Guards against bytes from elsewhere that end the process or are answered as a
+// request.
+Test(gateway_relay, a_relay_refuses_malformed_requests)
+{
+    relay_fixture fixture;
+    fixture.start();
+    for (const std::string& body :
+         {std::string(), std::string("x"), std::string(1000, '\xff')})
+    {
+        net::client_request request;
+        request.peer = *fixture.relay_address;
+        request.method = "POST";
+        request.body = body;
+        std::optional<net::fetch_result> fetched;
+        const auto call =
+            net::fetch(fixture.caller, request, 1 << 20,
+                       [&](net::fetch_result value) { fetched = value; });
+        EXPECT(fixture.run_until([&] { return fetched.has_value(); }));
+        EXPECT(fetched->response.status == 400);
+    }
+}
