Tell other failure domains at once when the VM that sums up stops

Change: the VM that sums up its domain sends a last message without itself and is released as the sender, so that the next VM's sums are used at once.

--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -93,14 +93,15 @@
     /// Whether `serving` is filled in; false in further datagrams and in early
     /// reports.
     bool lists_serving = false;
+    bool last = false; ///< The sender stops; another VM will sum up.
     std::vector<std::uint32_t> serving; ///< Numbers of VMs that accept callers.
     std::vector<organisation_usage> usages; ///< Sums over the domain's VMs.
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(failure_domain, incarnation, forwarded, lists_serving, serving,
-                usages);
+        archive(failure_domain, incarnation, forwarded, lists_serving, last,
+                serving, usages);
     }
 };
 
@@ -127,6 +128,9 @@
                                           std::uint64_t incarnation,
                                           time_point now);
 
+    /// @brief Accepts the next sender at once, because this one stops.
+    void release(const std::string& failure_domain, std::uint64_t incarnation);
+
 private:
     struct sender
     {
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -341,14 +341,13 @@
     const bool was_ready = ready();
     lifecycle.apply(lifecycle_event::stop);
     state.leaving = true;
-    state.peers.serve(false);
     if (was_ready)
     {
         log.write(event_id::readiness_changed,
                   {{"ready", false}, {"reason", "stop requested"}});
     }
     registration.stop();
-    peer_messages.send_state();
+    peer_messages.leave();
     requests->close_after_responses();
     const duration lookup_expiry =
         state.settings.lookup_lifetime * lookup_expiry_factor;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -63,11 +63,22 @@
     if (now >= next_domain_state_at_)
     {
         next_domain_state_at_ = now + state_.peers.domain_interval();
-        send_domain_state(selection::active);
+        send_domain_state(selection::active, false);
     }
     else
     {
-        send_domain_state(selection::early);
+        send_domain_state(selection::early, false);
+    }
+}
+
+void peer_exchange::leave()
+{
+    const bool sums_up = state_.peers.sums_up_domain(state_.now());
+    state_.peers.serve(false);
+    send_state();
+    if (sums_up)
+    {
+        send_domain_state(selection::active, true);
     }
 }
 
@@ -111,10 +122,10 @@
     return out;
 }
 
-void peer_exchange::send_domain_state(selection which)
+void peer_exchange::send_domain_state(selection which, bool last)
 {
     const time_point now = state_.now();
-    if (!state_.peers.sums_up_domain(now))
+    if (!last && !state_.peers.sums_up_domain(now))
     {
         return;
     }
@@ -127,6 +138,7 @@
     domain_state message;
     message.failure_domain = state_.settings.self.failure_domain;
     message.incarnation = self_.low;
+    message.last = last;
     if (which == selection::active)
     {
         message.lists_serving = true;
@@ -268,6 +280,10 @@
                      {message.failure_domain, report_scope::domain,
                       message.incarnation, sender->since_previous});
     }
+    if (message.last)
+    {
+        senders_.release(message.failure_domain, message.incarnation);
+    }
     if (!message.forwarded)
     {
         forward(std::move(message));
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -38,6 +38,10 @@
     /// @brief Sends this VM's state now.
     void send_state();
 
+    /// @brief Tells the other VMs that this one accepts no callers any more. If
+    /// it sums up its domain, the other domains are told too.
+    void leave();
+
 private:
     /// Selects the organisations that a message reports.
     enum class selection
@@ -59,7 +63,7 @@
     select_usages(selection which,
                   rate_report (rate_share::*report)(time_point) const,
                   sent_reports& sent);
-    void send_domain_state(selection which);
+    void send_domain_state(selection which, bool last);
     template <class Message>
     void send_in_parts(Message message, std::vector<organisation_usage> usages,
                        const std::vector<net::endpoint>& receivers);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -158,6 +158,16 @@
     return accepted_sender{};
 }
 
+void domain_senders::release(const std::string& failure_domain,
+                             std::uint64_t incarnation)
+{
+    const auto found = senders_.find(failure_domain);
+    if (found != senders_.end() && found->second.incarnation == incarnation)
+    {
+        senders_.erase(found);
+    }
+}
+
 // VMs
 
 peer_table::peer_table(vm_record self) : self_(std::move(self)) {}
--- a/tests/unit/gateway_usage_test.cpp
+++ b/tests/unit/gateway_usage_test.cpp
@@ -404,6 +404,14 @@
     EXPECT(senders.accept("north-1", 1, time.now())->since_previous == 1s);
     EXPECT(!senders.accept("north-1", 2, time.now()).has_value());
     EXPECT(senders.accept("north-2", 2, time.now()).has_value());
+    section("another one at once if it stops",
+            [&]
+            {
+                senders.release("north-2", 2);
+                EXPECT(senders.accept("north-2", 5, time.now()).has_value());
+                senders.release("north-2", 2);
+                EXPECT(!senders.accept("north-2", 6, time.now()).has_value());
+            });
     section("another one once it has been silent",
             [&]
             {
