Spread objects with small answers over the targets of a region

Cause: a failure domain with enough targets kept its own copy of every object.

Domains that can't hold the objects spread them over the region as before.

gateway_replay/small_answers_warm_up_over_the_region replays the first four seconds of the cold start: at least half of the requests find their object, 1.5 times as many as with a scope of one domain.

--- a/include/siskinflow/gateway/gateway_settings.hpp
+++ b/include/siskinflow/gateway/gateway_settings.hpp
@@ -37,6 +37,9 @@
     /// Requests per second that a cold target may get beyond its rate, over all
     /// VMs.
     double cold_slack = 0;
+    /// Mean bytes of a request and its answer up to which the objects of a
+    /// service are spread over the region.
+    double region_exchange_bytes = 0;
     log_level level = log_level::info;
     log_format format = log_format::logfmt;
 };
--- a/include/siskinflow/gateway/placement.hpp
+++ b/include/siskinflow/gateway/placement.hpp
@@ -71,6 +71,9 @@
     duration region_round_trip = std::chrono::milliseconds(90);
     /// Added cost of a target in another failure domain.
     duration domain_crossing_penalty = std::chrono::milliseconds(40);
+    /// Mean bytes of a request and its answer up to which the objects of a
+    /// service are spread over the region.
+    double max_region_bytes = 2048;
     /// Added cost of a target in another region, on top of the round trip.
     duration region_crossing_penalty = std::chrono::milliseconds(120);
     /// Cost of each position in the object's order; keeps requests for an
--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -57,8 +57,8 @@
 ///
 /// Every VM of a region orders the targets of an object by the same hash, so
 /// the object stays on the same few targets without coordination between VMs.
-/// The order starts in the VM's failure domain if its targets can hold the
-/// objects of the service, otherwise in its region.
+/// The order starts in the VM's failure domain or covers its region; see
+/// `choose_scope`.
 class target_chooser
 {
 public:
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -4,6 +4,7 @@
 
 #include <siskinflow/budget/bucket.hpp>
 #include <siskinflow/core/clock.hpp>
+#include <siskinflow/gateway/object_scope.hpp>
 #include <siskinflow/gateway/placement.hpp>
 #include <siskinflow/gateway/target_record.hpp>
 #include <siskinflow/gateway/warm_chance.hpp>
@@ -248,6 +249,12 @@
         return locations_[service];
     }
 
+    /// @brief Sizes of the requests and answers of one service.
+    exchange_size& exchange_sizes(const std::string& service)
+    {
+        return exchange_sizes_[service];
+    }
+
     /// @brief Applies a load report to a target and to its service's average.
     void on_load(target& entry, const load_report& report, time_point now);
 
@@ -277,6 +284,7 @@
     std::unordered_map<std::string, std::map<std::string, std::size_t>>
         targets_per_domain_;
     std::unordered_map<std::string, object_locations> locations_;
+    std::unordered_map<std::string, exchange_size> exchange_sizes_;
     std::unordered_map<std::string, double> average_peer_load_;
     std::set<std::string> evacuated_domains_;
 };
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -36,6 +36,9 @@
 DEFINE_double(cold_slack, 5,
               "Requests per second that a cold target may get beyond its "
               "rate, over all VMs (0-1000)");
+DEFINE_double(region_exchange_bytes, 2048,
+              "Mean bytes of a request and its answer up to which the objects "
+              "of a service are spread over the region (0-1000000000)");
 
 namespace siskinflow::gateway
 {
@@ -114,6 +117,9 @@
     out.retry_ratio = FLAGS_retry_ratio;
     out.retry_slack = FLAGS_retry_slack;
     out.cold_slack = FLAGS_cold_slack;
+    check_range(check, "region_exchange_bytes", FLAGS_region_exchange_bytes,
+                1e9);
+    out.region_exchange_bytes = FLAGS_region_exchange_bytes;
 }
 
 } // namespace
@@ -137,6 +143,7 @@
                                                    "retry_ratio",
                                                    "retry_slack",
                                                    "cold_slack",
+                                                   "region_exchange_bytes",
                                                    "log_level",
                                                    "log_format"};
     return names;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -23,6 +23,13 @@
 /// Failed placements after which a pass over the waiting requests ends.
 constexpr int max_failed_placements = 6;
 
+placement_costs costs_of(const gateway_settings& settings)
+{
+    placement_costs out;
+    out.max_region_bytes = settings.region_exchange_bytes;
+    return out;
+}
+
 } // namespace
 
 gateway_state::gateway_state(net::event_loop& loop_in,
@@ -33,7 +40,7 @@
     : loop(loop_in), http_client(http_client_in), protocol(protocol_in),
       log(log_in), metric_set(metric_set_in), settings(std::move(settings_in)),
       targets({settings.self.failure_domain, settings.self.region}),
-      chooser(targets, placement_costs{}), peers(settings.self),
+      chooser(targets, costs_of(settings)), peers(settings.self),
       started_at(loop_in.now()),
       key_acceptance_(make_key_acceptance(settings.revocation_limit))
 {
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -90,6 +90,8 @@
     {
         log_not_served(status_, "target_answered_failure", std::nullopt);
     }
+    state_.targets.exchange_sizes(service_).observe(
+        exchange_->request().body.size() + body_.size());
     exchange_->respond({status_, std::move(headers_), std::move(body_)});
     finish();
 }
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Objects of a service per target up to which a failure domain keeps them on
-/// its own targets. A target holds about 25 to 80 objects.
-constexpr double max_objects_per_target = 24;
 /// Lower bound of the expected objects per target of an average failure domain,
 /// used until all objects have been seen. It keeps a domain with far fewer
 /// targets than the others from changing its order once they have.
@@ -89,8 +86,10 @@
         { return entry.target_distance == distance::same_domain; }));
     const bool by_domain =
         !request.object ||
-        expected_objects(request.service) <=
-            static_cast<double>(in_domain) * max_objects_per_target;
+        choose_scope(
+            {expected_objects(request.service), in_domain,
+             targets_.exchange_sizes(std::string(request.service)).average()},
+            costs_.max_region_bytes) == object_scope::domain;
     const auto tier = [&](const ranked_target& entry)
     {
         if (is_in_other_region(entry.target_distance) !=
--- a/tests/unit/gateway_replay_test.cpp
+++ b/tests/unit/gateway_replay_test.cpp
@@ -215,6 +215,96 @@
     replay_result result_;
 };
 
+/// VMs of three failure domains of a region, all targets cold. Each object is
+/// requested about once in two seconds in the region.
+class cold_region
+{
+public:
+    /// @param exchange_bytes mean size of a request and its answer
+    explicit cold_region(std::size_t exchange_bytes)
+    {
+        for (std::size_t domain = 0; domain < domain_count; ++domain)
+        {
+            vms_.push_back(std::make_unique<vm>("d" + std::to_string(domain)));
+            for (int i = 0; i < 4; ++i)
+            {
+                vms_.back()->directory.exchange_sizes("maps").observe(
+                    exchange_bytes);
+            }
+        }
+        for (std::size_t i = 0; i < targets; ++i)
+        {
+            target_record record;
+            record.id = "t" + std::to_string(i);
+            record.service = "maps";
+            record.failure_domain = "d" + std::to_string(i % domain_count);
+            record.region = "r";
+            record.slots = simulated_target::slots;
+            for (const auto& entry : vms_)
+            {
+                entry->directory.put(record, time_.now());
+                entry->directory.find(record.id)->mark_tried();
+            }
+        }
+    }
+
+    /// Fraction of the requests of the first seconds that find their object on
+    /// their target.
+    double warm_fraction(duration within)
+    {
+        const time_point end = time_.now() + within;
+        std::size_t number = 0;
+        std::size_t warm = 0;
+        while (time_.now() < end)
+        {
+            warm += request(*vms_[number % domain_count],
+                            stable_hash(std::to_string(number)) % objects)
+                        ? 1
+                        : 0;
+            ++number;
+            time_.advance(std::chrono::microseconds(3175));
+        }
+        return static_cast<double>(warm) / static_cast<double>(number);
+    }
+
+private:
+    static constexpr std::size_t domain_count = 3;
+    static constexpr std::size_t targets = 150;
+    static constexpr std::size_t objects = 655;
+    static constexpr std::size_t objects_per_target = 18;
+
+    struct vm
+    {
+        explicit vm(const std::string& domain)
+            : directory({domain, "r"}), chooser(directory, {})
+        {
+        }
+
+        target_directory directory;
+        target_chooser chooser;
+    };
+
+    bool request(vm& entry, std::uint64_t object)
+    {
+        choice_request choice_params;
+        choice_params.service = "maps";
+        choice_params.object = stable_hash(std::to_string(object));
+        choice_params.region_allowed = [](std::string_view) { return true; };
+        choice_params.work = {1360ms, 408ms};
+        choice_params.remaining = {1s, 6s};
+        const auto outcome = entry.chooser.choose(choice_params, time_.now());
+        EXPECT(outcome.choice.has_value());
+        const std::string& id = outcome.choice->chosen->record().id;
+        entry.directory.locations("maps").record(*choice_params.object, id,
+                                                 time_.now());
+        return simulated_[id].handle(*choice_params.object, objects_per_target);
+    }
+
+    manual_clock time_;
+    std::vector<std::unique_ptr<vm>> vms_;
+    std::map<std::string, simulated_target> simulated_;
+};
+
 /// Credit of an ideal scheduler that finds every object warm after its first
 /// request on one target, so that only the slots limit it.
 double upper_bound(const load_pattern& pattern)
@@ -374,3 +464,40 @@
                        0.8 * upper_bound(pattern));
             });
 }
+
+// Guards against a cold start in which each failure domain warms up its own
+// copy of every object, which takes several times as long.
+Test(gateway_replay, small_answers_warm_up_over_the_region)
+{
+    const double small = cold_region(400).warm_fraction(4s);
+    const double large = cold_region(90000).warm_fraction(4s);
+    EXPECT(small >= 0.5);
+    EXPECT(large < small / 1.5);
+}
+
+// Guards against objects that move between targets because the scope of their
+// service changes with each answer.
+Test(gateway_replay, the_scope_follows_objects_and_bytes)
+{
+    constexpr double limit = 2048;
+    EXPECT(choose_scope({100, 10, std::nullopt}, limit) ==
+           object_scope::domain);
+    EXPECT(choose_scope({100, 10, 400}, limit) == object_scope::region);
+    EXPECT(choose_scope({100, 10, 5000}, limit) == object_scope::domain);
+    EXPECT(choose_scope({1000, 10, 5000}, limit) == object_scope::region);
+    exchange_size size;
+    for (int i = 0; i < 3; ++i)
+    {
+        size.observe(5000);
+    }
+    EXPECT(!size.average());
+    for (int i = 0; i < 100; ++i)
+    {
+        size.observe(5000);
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        size.observe(400);
+    }
+    EXPECT(*size.average() > limit);
+}
