--- a/tests/process/entry_faults_test.cpp
+++ b/tests/process/entry_faults_test.cpp
@@ -349,6 +349,10 @@
              {{"change", {{{"name", "zenith"}, {"rate_per_s", rate}}}}}}};
 }
 
+/// Delay of the store's answers with which two clients that start together
+/// both read the configuration before either of them writes it.
+constexpr int overlap_delay_ms = 1000;
+
 /// Applies two different notes at the same time.
 /// @return the exit codes of the operators' client, the lower one first
 std::pair<int, int> race(deployment& run, int number)
@@ -382,7 +386,7 @@
     section("slow",
             [&]
             {
-                run.store_faults({{"delay_ms", 300}});
+                run.store_faults({{"delay_ms", overlap_delay_ms}});
                 EXPECT(race(run, 1) == std::pair(0, 5));
                 every_vm_serves(run);
             });
@@ -405,7 +409,8 @@
             [&]
             {
                 // The winner finds its own write id by reading back.
-                run.store_faults({{"lose_replies", true}});
+                run.store_faults(
+                    {{"lose_replies", true}, {"delay_ms", overlap_delay_ms}});
                 EXPECT(race(run, 1) == std::pair(0, 5));
                 every_vm_serves(run);
             });
@@ -418,7 +423,9 @@
                         for (bool lose = false; !stop.stop_requested();
                              lose = !lose)
                         {
-                            store_faults_apart(run, {{"lose_replies", lose}});
+                            store_faults_apart(
+                                run, {{"lose_replies", lose},
+                                      {"delay_ms", overlap_delay_ms}});
                             std::this_thread::sleep_for(40ms);
                         }
                     });
@@ -431,7 +438,7 @@
     section("a note is accepted afterwards",
             [&]
             {
-                run.store_faults(json::object());
+                run.store_faults({{"delay_ms", overlap_delay_ms}});
                 EXPECT(race(run, 3) == std::pair(0, 5));
             });
 }
