Introduce a new target from two VMs of its failure domain

Cause: each VM preferred every target of its failure domain that it had not tried over the target that held the object.

Change: targets that register before a VM's first request are not new to it; later ones are introduced by the two VMs of the domain that all VMs choose by the same hash.

gateway_peers/few_vms_introduce_a_new_target; 38 gateway and docs tests pass.

--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -201,6 +201,10 @@
     /// the VMs that accept callers and are heard.
     bool sums_up_domain(time_point now) const;
 
+    /// @brief Whether this VM is one of the few of its failure domain that send
+    /// the first requests to a new target; every VM chooses the same ones.
+    bool introduces(std::string_view target) const;
+
     /// @brief Message address of the VM of this failure domain that reads the
     /// store for the others: the first by name that accepts callers and is
     /// heard.
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -59,6 +59,7 @@
     std::unordered_map<std::uint32_t, std::string> organisation_by_number;
     std::unordered_set<std::shared_ptr<request_flow>> in_progress;
     bool leaving = false;
+    bool had_requests = false; ///< Whether a request has been admitted.
     time_point started_at;
 
     time_point now() const
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -37,6 +37,9 @@
 /// VMs of a failure domain from which one reads the store for the others. In a
 /// smaller domain few calls are saved, and changes arrive later.
 constexpr std::size_t min_relayed_domain_size = 4;
+/// VMs of a failure domain that send a new target its first requests. Two, in
+/// case one of them is stopping or has no requests for the service.
+constexpr std::ptrdiff_t introducing_vms = 2;
 /// Maximum number of VMs that one lookup returns.
 constexpr std::size_t max_lookup_vms = 64;
 
@@ -339,6 +342,20 @@
     return serving_ && (first == nullptr || self_.name < first->record.name);
 }
 
+bool peer_table::introduces(std::string_view target) const
+{
+    const std::uint64_t seed = stable_hash(target);
+    const std::uint64_t own = stable_hash(self_.name, seed);
+    const auto before =
+        std::count_if(peers_.begin(), peers_.end(),
+                      [&](const auto& item)
+                      {
+                          return in_own_domain(item.second.record) &&
+                                 stable_hash(item.first, seed) < own;
+                      });
+    return before < introducing_vms;
+}
+
 std::optional<net::endpoint> peer_table::store_relay(time_point now) const
 {
     const peer* first = first_in_domain(now);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -67,6 +67,7 @@
                                                 self->on_deadline();
                                             }
                                         });
+    state_.had_requests = true;
     state_.retries(service_).on_request();
     prefer_other_regions_ = state_.split(service_).use_other_region(object_);
     place();
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -194,10 +194,11 @@
                   entry.warm_up_left)
                   .count()}});
     }
-    if (added && state_.in_progress.empty() && !listed_)
+    if (added && !(state_.had_requests && state_.peers.introduces(entry.id)))
     {
         // Targets that registered before the first request become warm through
-        // the order of the objects and need no preference as new targets.
+        // the order of the objects. A later one is introduced by a few VMs; a
+        // cold request from each VM would keep hundreds of targets cold.
         state_.targets.find(entry.id)->mark_tried();
     }
     state_.limit_if_cold(*state_.targets.find(entry.id));
--- a/tests/unit/gateway_peers_test.cpp
+++ b/tests/unit/gateway_peers_test.cpp
@@ -1,6 +1,7 @@
 #include "test_sections.hpp"
 #include <siskinflow/gateway/peers.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -195,3 +196,31 @@
     older.erase(older.find(field), field.size());
     EXPECT(parse_vm_record(older).value().protocol == peer_protocol::direct);
 }
+
+// Guards against a cold first request from every VM to each of hundreds of
+// targets, and against a new target that no VM tries.
+Test(gateway_peers, few_vms_introduce_a_new_target)
+{
+    const time_point now = manual_clock().now();
+    for (const std::size_t vms : {1, 2, 13, 55})
+    {
+        section(std::to_string(vms) + " VMs in the domain",
+                [&]
+                {
+                    const auto records = grouped_vms(vms, 1);
+                    for (const char* target : {"i-1", "i-2", "i-3"})
+                    {
+                        std::size_t introducing = 0;
+                        for (std::size_t self = 0; self < vms; ++self)
+                        {
+                            auto view = records;
+                            std::swap(view[0], view[self]);
+                            introducing +=
+                                make_fleet(view, now).introduces(target) ? 1
+                                                                         : 0;
+                        }
+                        EXPECT(introducing == std::min<std::size_t>(vms, 2));
+                    }
+                });
+    }
+}
