Do not measure work by requests that name no object

Cause: operators' checks on a route with objects are answered in 3 ms.

Change: measures_work excludes such attempts, beside those that queued and those of cold targets.

gateway_work_estimate/requests_without_an_object_are_not_measured.

--- a/include/siskinflow/gateway/work_estimate.hpp
+++ b/include/siskinflow/gateway/work_estimate.hpp
@@ -7,6 +7,21 @@
 namespace siskinflow::gateway
 {
 
+/// @brief Circumstances of an answered attempt.
+struct attempt_conditions
+{
+    bool target_queued = false;  ///< The target had no free slot.
+    bool target_cold = false;    ///< The target is warming up after its start.
+    bool route_affinity = false; ///< The route's targets hold objects.
+    bool has_object = false;     ///< The request names its object.
+};
+
+/// @brief Whether the duration of an attempt measures the work of its route. On
+/// a route with objects, a request that names none does other work: checks by
+/// operators take a few milliseconds and would make their target seem fast
+/// enough to answer on time without the object.
+bool measures_work(const attempt_conditions& conditions);
+
 /// @brief Moving averages of cold and warm work time.
 class work_estimate
 {
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -223,8 +223,10 @@
         target_->on_warm_up_left(*answer_fields_.warm_up_left, now);
         state_.limit_if_cold(*target_);
     }
-    const bool queued = load_at_send_ >= target_->record().slots;
-    if (result != attempt_result::answered || queued || target_->cold(now))
+    const attempt_conditions conditions{
+        load_at_send_ >= target_->record().slots, target_->cold(now),
+        route_->affinity, object_.has_value()};
+    if (result != attempt_result::answered || !measures_work(conditions))
     {
         return;
     }
--- a/src/gateway/work_estimate.cpp
+++ b/src/gateway/work_estimate.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+bool measures_work(const attempt_conditions& conditions)
+{
+    const bool comparable = conditions.has_object || !conditions.route_affinity;
+    return comparable && !conditions.target_queued && !conditions.target_cold;
+}
+
 work_estimate::work_estimate(duration objective, duration timeout)
     : current_{std::min(objective * 5 / 4, timeout * 3 / 4),
                std::min(objective * 2 / 5, timeout / 4)}
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -105,6 +105,17 @@
         }));
 }
 
+// Guards against checks that take milliseconds and make a target seem fast: it
+// then got requests for objects that it did not hold.
+Test(gateway_work_estimate, requests_without_an_object_are_not_measured)
+{
+    EXPECT(measures_work({false, false, true, true}));
+    EXPECT(!measures_work({false, false, true, false}));
+    EXPECT(measures_work({false, false, false, false}));
+    EXPECT(!measures_work({true, false, true, true}));
+    EXPECT(!measures_work({false, true, true, true}));
+}
+
 // Guards against a route that matches by a shorter prefix or another host.
 Test(gateway_policy, finds_the_longest_prefix_of_the_host)
 {
