Bring a relay's log to the revision of its readers

Cause: a reader that listed a prefix at a later revision of the store than its relay was refused, because the relay's revision advances only with a change of that prefix. Operators' entries change rarely, so many VMs went on watching them at the store.

Change: a relay asked for a later revision watches the prefix with the shortest wait, at most every two seconds, which tells it the present revision; the reader waits meanwhile and is refused only if that fails.

--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -79,6 +79,10 @@
     /// a watch that still waits on an open connection.
     void refresh();
 
+    /// @brief Asks for the store's present revision, which the running watch
+    /// tells only with the next change.
+    void catch_up();
+
     /// @brief Whether a listing has been completed.
     bool listed() const;
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -106,9 +106,11 @@
           peer_messages(state, incarnation, [this] { return ready(); }),
           relay(loop_in, incarnation, [this] { return passes_changes_on(); })
     {
-        relay.add(platform_in.records.operator_prefix(), operator_log);
-        relay.add(platform_in.records.target_prefix(), target_log);
-        relay.add(vm_prefix, vm_log);
+        relay.add(platform_in.records.operator_prefix(), operator_log,
+                  [this] { operator_mirror.catch_up(); });
+        relay.add(platform_in.records.target_prefix(), target_log,
+                  [this] { target_mirror.catch_up(); });
+        relay.add(vm_prefix, vm_log, [this] { vm_mirror.catch_up(); });
         for (recording_listener* recorded :
              {&recorded_operators, &recorded_registrations, &recorded_vms})
         {
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -13,6 +13,8 @@
 /// Time between two checks of the waiting requests. They end within this time
 /// once this VM may have missed a change.
 constexpr duration check_interval = std::chrono::milliseconds(100);
+/// Time between two calls that bring a log to the store's present revision.
+constexpr duration catch_up_interval = std::chrono::seconds(2);
 constexpr std::size_t max_connections = 512;
 constexpr std::size_t max_request_bytes = 1024;
 
@@ -74,9 +76,20 @@
     return ok();
 }
 
-void store_relay::add(std::string prefix, const change_log& log)
+void store_relay::add(std::string prefix, const change_log& log,
+                      std::function<void()> catch_up)
 {
-    logs_[std::move(prefix)] = &log;
+    prefixes_[std::move(prefix)] = {&log, std::move(catch_up), {}};
+}
+
+void store_relay::catch_up(relayed_prefix& entry)
+{
+    const time_point now = loop_.now();
+    if (now - entry.caught_up_at >= catch_up_interval)
+    {
+        entry.caught_up_at = now;
+        entry.catch_up();
+    }
 }
 
 void store_relay::on_request(const net::exchange_ptr& exchange)
@@ -90,7 +103,7 @@
     }
     auto message =
         control::decode_payload<store_changes_request>(envelope.value());
-    if (!message || logs_.count(message.value().prefix) == 0)
+    if (!message || prefixes_.count(message.value().prefix) == 0)
     {
         refuse(exchange, status_bad_request);
         return;
@@ -106,7 +119,8 @@
 bool store_relay::answer(const net::exchange_ptr& exchange,
                          const store_changes_request& message, bool may_wait)
 {
-    const change_log& log = *logs_.at(message.prefix);
+    relayed_prefix& entry = prefixes_.at(message.prefix);
+    const change_log& log = *entry.log;
     if (log.revision() == 0 || !current_())
     {
         refuse(exchange, status_unavailable);
@@ -120,13 +134,17 @@
     const auto after = static_cast<store_revision>(message.after);
     const auto page = log.changes_after(after);
     // A page of an earlier revision would take the reader back.
-    const bool nothing_new =
-        page && (page.value().entries.empty() || page.value().revision < after);
+    const bool behind = page && page.value().revision < after;
+    const bool nothing_new = page && (page.value().entries.empty() || behind);
+    if (behind)
+    {
+        catch_up(entry);
+    }
     if (nothing_new && may_wait)
     {
         return false;
     }
-    if (page && page.value().revision < after)
+    if (behind)
     {
         refuse(exchange, status_unavailable);
         return true;
--- a/src/gateway/store_relay.hpp
+++ b/src/gateway/store_relay.hpp
@@ -32,7 +32,10 @@
     result<void> listen(const net::endpoint& address);
 
     /// @brief Adds the log of a prefix; it must outlive the relay.
-    void add(std::string prefix, const change_log& log);
+    /// @param catch_up brings the log to the store's present revision; called
+    /// when a reader knows a later one
+    void add(std::string prefix, const change_log& log,
+             std::function<void()> catch_up);
 
     /// @brief Answers the requests that wait for changes of any prefix.
     void on_recorded();
@@ -45,7 +48,15 @@
         time_point ends_at;
     };
 
+    struct relayed_prefix
+    {
+        const change_log* log = nullptr;
+        std::function<void()> catch_up;
+        time_point caught_up_at{}; ///< When `catch_up` was last called.
+    };
+
     void on_request(const net::exchange_ptr& exchange);
+    void catch_up(relayed_prefix& entry);
     /// @return whether the request was answered
     bool answer(const net::exchange_ptr& exchange,
                 const store_changes_request& message, bool may_wait);
@@ -56,7 +67,7 @@
     net::event_loop& loop_;
     incarnation_id self_;
     std::function<bool()> current_;
-    std::map<std::string, const change_log*> logs_;
+    std::map<std::string, relayed_prefix> prefixes_;
     std::list<waiting_request> waiting_;
     std::unique_ptr<net::http_server> server_;
     std::shared_ptr<void> timer_;
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -53,11 +53,16 @@
     }
 
     void watch_changes()
+    {
+        watch_changes_for(options.max_watch_wait);
+    }
+
+    void watch_changes_for(duration wait)
     {
         const std::uint64_t watch_id = ++current_watch;
         request_time = time.now();
         source.await_changes(
-            prefix, revision, options.max_watch_wait,
+            prefix, revision, wait,
             [self = shared_from_this(), watch_id](result<store_page> page)
             {
                 if (watch_id == self->current_watch)
@@ -227,6 +232,16 @@
     }
 }
 
+void store_mirror::catch_up()
+{
+    // The shortest wait that the platform's store accepts.
+    constexpr duration min_wait = std::chrono::milliseconds(1);
+    if (impl_->has_listed && !impl_->failing)
+    {
+        impl_->watch_changes_for(min_wait);
+    }
+}
+
 bool store_mirror::listed() const
 {
     return impl_->has_listed;
--- a/tests/unit/gateway_relay_test.cpp
+++ b/tests/unit/gateway_relay_test.cpp
@@ -78,7 +78,7 @@
           mirror(reads, loop.timers(), time, "a/", {10ms, 5ms}, listener),
           tick_timer(loop.every(20ms, [this] { service.tick(); }))
     {
-        relay.add("a/", log);
+        relay.add("a/", log, [this] { relay_mirror.catch_up(); });
         recorded.on_recorded([this] { relay.on_recorded(); });
     }
 
@@ -221,7 +221,7 @@
                 change_log behind = fixture.log;
                 store_relay older(fixture.loop, incarnation_id{3, 3},
                                   [] { return true; });
-                older.add("a/", behind);
+                older.add("a/", behind, [] {});
                 const net::endpoint address = free_address(fixture.loop);
                 EXPECT(older.listen(address).has_value());
                 EXPECT(fixture.arrives("a/1", "new"));
@@ -244,6 +244,40 @@
             });
 }
 
+// Guards against readers that call the store for every change because they
+// listed a prefix at a later revision than their relay.
+Test(gateway_relay, a_relay_catches_up_with_its_readers)
+{
+    relay_fixture fixture;
+    fixture.service.put("a/1", "one");
+    fixture.start();
+    // Changes elsewhere advance the store's revision, not the relay's.
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.service.put("b/1", std::to_string(i));
+    }
+    map_listener later_listener;
+    relayed_store later_reads(
+        fixture.loop, fixture.caller, fixture.direct, incarnation_id{4, 4},
+        [&]() -> std::optional<net::endpoint> {
+            return later_listener.listed ? fixture.relay_address : std::nullopt;
+        });
+    store_mirror later(later_reads, fixture.loop.timers(), fixture.time, "a/",
+                       {10ms, 5ms}, later_listener);
+    later.start();
+    EXPECT(fixture.run_until([&] { return later_listener.listed; }));
+    const time_point settled = fixture.time.now() + 300ms;
+    fixture.run_until([&] { return fixture.time.now() >= settled; });
+    const std::uint64_t calls_before = fixture.store_calls();
+    fixture.service.put("a/1", "two");
+    EXPECT(fixture.run_until(
+        [&] { return later_listener.values["a/1"] == "two"; }, 500ms));
+    EXPECT(fixture.run_until(
+        [&] { return fixture.listener.values["a/1"] == "two"; }, 500ms));
+    // The relay's next watch.
+    EXPECT(fixture.store_calls() - calls_before <= 1);
+}
+
 // Guards against removals that a reader never learns of.
 Test(gateway_relay, a_log_brings_any_reader_up_to_date)
 {
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -254,7 +254,8 @@
     const auto read =
         records.read_operator({"op/config", config_entry(), 5, false});
     EXPECT(read.has_value());
-    const auto& policy = std::get<gateway::policy_document>(read.value()).policy;
+    const auto& policy =
+        std::get<gateway::policy_document>(read.value()).policy;
     EXPECT(policy.version == 7 && policy.keys_required);
     EXPECT(policy.routes[0].services[0].weight == 90);
     EXPECT(policy.routes[0].idempotent && policy.routes[0].objective == 500ms);
