--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -25,43 +25,70 @@
     reset,
 };
 
-/// Answers one connection with given bytes and ends it.
-class single_response_server
+/// A TCP socket that listens on a free port of the loopback interface.
+class listening_socket
 {
 public:
-    single_response_server(std::string answer, close_mode mode)
+    listening_socket()
     {
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof(address);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-        ::listen(listener_, 1);
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
+        ::bind(descriptor_, reinterpret_cast<sockaddr*>(&address), length);
+        ::listen(descriptor_, 1);
+        ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address),
                       &length);
         port_ = ntohs(address.sin_port);
-        worker_ = std::jthread([this, answer = std::move(answer), mode]
-                               { serve(answer, mode); });
     }
 
-    ~single_response_server()
+    ~listening_socket()
     {
-        worker_.join();
-        ::close(listener_);
+        ::close(descriptor_);
     }
 
+    listening_socket(const listening_socket&) = delete;
+    listening_socket& operator=(const listening_socket&) = delete;
+
     std::uint16_t port() const
     {
         return port_;
     }
 
-private:
-    void serve(const std::string& answer, close_mode mode) const
+    /// Accepts a connection and reads the request.
+    /// @return the connection's descriptor
+    int accept_request() const
     {
-        const int connection = ::accept(listener_, nullptr, nullptr);
+        const int connection = ::accept(descriptor_, nullptr, nullptr);
         char buffer[2048];
         (void)::recv(connection, buffer, sizeof(buffer), 0);
+        return connection;
+    }
+
+private:
+    int descriptor_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    std::uint16_t port_ = 0;
+};
+
+/// Answers one connection with given bytes and ends it.
+class single_response_server
+{
+public:
+    single_response_server(std::string answer, close_mode mode)
+    {
+        worker_ = std::jthread([this, answer = std::move(answer), mode]
+                               { serve(answer, mode); });
+    }
+
+    std::uint16_t port() const
+    {
+        return listener_.port();
+    }
+
+private:
+    void serve(const std::string& answer, close_mode mode) const
+    {
+        const int connection = listener_.accept_request();
         (void)::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
         // Lets the client read what was sent before the connection ends.
         std::this_thread::sleep_for(30ms);
@@ -74,9 +101,8 @@
         ::close(connection);
     }
 
-    int listener_ = -1;
-    std::uint16_t port_ = 0;
-    std::jthread worker_;
+    listening_socket listener_;
+    std::jthread worker_; ///< Joined before the socket is closed.
 };
 
 /// Answers one connection with a prefix, then repeats a text until the client
@@ -86,38 +112,20 @@
 public:
     endless_response_server(std::string prefix, std::string repeated)
     {
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-        ::listen(listener_, 1);
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
-                      &length);
-        port_ = ntohs(address.sin_port);
         worker_ = std::jthread(
             [this, prefix = std::move(prefix), repeated = std::move(repeated)]
             { serve(prefix, repeated); });
     }
 
-    ~endless_response_server()
-    {
-        worker_.join();
-        ::close(listener_);
-    }
-
     std::uint16_t port() const
     {
-        return port_;
+        return listener_.port();
     }
 
 private:
     void serve(const std::string& prefix, const std::string& repeated) const
     {
-        const int connection = ::accept(listener_, nullptr, nullptr);
-        char buffer[2048];
-        (void)::recv(connection, buffer, sizeof(buffer), 0);
+        const int connection = listener_.accept_request();
         (void)::send(connection, prefix.data(), prefix.size(), MSG_NOSIGNAL);
         std::string block;
         while (block.size() < 4096)
@@ -130,9 +138,8 @@
         ::close(connection);
     }
 
-    int listener_ = -1;
-    std::uint16_t port_ = 0;
-    std::jthread worker_;
+    listening_socket listener_;
+    std::jthread worker_; ///< Joined before the socket is closed.
 };
 
 fetch_result fetch_response(event_loop& loop, http_client& client,
