--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -142,6 +142,44 @@
     std::jthread worker_; ///< Joined before the socket is closed.
 };
 
+std::string answer_with(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// Answers a request, sends the answer a second time on the idle connection,
+/// and answers a request on another connection.
+class repeating_server
+{
+public:
+    std::uint16_t port() const
+    {
+        return listener_.port();
+    }
+
+    /// Time after the first answer at which the second copy is sent.
+    static constexpr std::chrono::milliseconds copy_delay{30};
+
+private:
+    void serve() const
+    {
+        const int first = listener_.accept_request();
+        const std::string answer = answer_with("first");
+        (void)::send(first, answer.data(), answer.size(), MSG_NOSIGNAL);
+        std::this_thread::sleep_for(copy_delay);
+        (void)::send(first, answer.data(), answer.size(), MSG_NOSIGNAL);
+        const int second = listener_.accept_request();
+        const std::string other = answer_with("second");
+        (void)::send(second, other.data(), other.size(), MSG_NOSIGNAL);
+        ::close(first);
+        ::close(second);
+    }
+
+    listening_socket listener_;
+    std::jthread worker_{[this] { serve(); }};
+};
+
 fetch_result fetch_response(event_loop& loop, http_client& client,
                             std::string answer, close_mode mode)
 {
@@ -215,6 +253,38 @@
             });
 }
 
+// Guards against a second copy of an answer that reaches the next caller on a
+// connection that is in use again.
+Test(net_client_faults, a_repeated_answer_does_not_reach_the_next_call)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const repeating_server server;
+    const auto fetch_body = [&]
+    {
+        client_request request;
+        request.peer = {"127.0.0.1", server.port()};
+        request.timeout = 2s;
+        std::optional<fetch_result> fetched;
+        const auto call =
+            fetch(client, request, 1 << 20,
+                  [&](fetch_result value) { fetched = std::move(value); });
+        while (!fetched)
+        {
+            loop.run_once(5ms);
+        }
+        return fetched->response.body;
+    };
+    EXPECT(fetch_body() == "first");
+    const time_point copy_sent = time.now() + 3 * server.copy_delay;
+    while (time.now() < copy_sent)
+    {
+        loop.run_once(5ms);
+    }
+    EXPECT(fetch_body() == "second");
+}
+
 // Guards against a target that sends bytes without end: they would fill the
 // memory and keep the call until its deadline.
 Test(net_client_faults, end_a_call_whose_answer_does_not_end)
