Fit messages between VMs into datagrams of any domain size

Cause: a fixed number of usages was put beside the list of serving VMs; in a failure domain of about 100 VMs the first datagram exceeded the size that receivers accept and would have been dropped.

Change: encode_parts fills each datagram with what fits.

gateway_usage/messages_are_split_into_datagrams: up to 125 VMs in a domain and 1000 organisations.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,5 +1,7 @@
 #include "peer_exchange.hpp"
 
+#include "message_parts.hpp"
+
 #include <algorithm>
 
 namespace siskinflow::gateway
@@ -11,11 +13,6 @@
 constexpr duration timer_interval = std::chrono::milliseconds(100);
 /// Demand below which an organisation without new requests is not reported.
 constexpr double min_reported_demand_per_s = 0.05;
-/// Bytes of a datagram for anything but the usages: names, numbers of VMs.
-constexpr std::size_t reserved_datagram_bytes = 400;
-constexpr std::size_t usages_per_datagram =
-    (control::max_datagram_bytes - reserved_datagram_bytes) /
-    sizeof(organisation_usage);
 report_scope scope_of(const vm_record& record, const vm_record& self)
 {
     return record.protocol >= peer_protocol::domain &&
@@ -91,7 +88,7 @@
     message.vm = state_.settings.self.name;
     message.serving = ready_();
     send_in_parts(
-        std::move(message),
+        message,
         select_usages(selection::active, &rate_share::report, sent_own_),
         state_.peers.direct_peers());
 }
@@ -129,7 +126,7 @@
     {
         return;
     }
-    auto usages =
+    const auto usages =
         select_usages(which, &rate_share::domain_report, sent_domain_);
     if (which == selection::early && usages.empty())
     {
@@ -145,45 +142,22 @@
         message.serving = state_.peers.serving_in_domain(now);
         ++round_;
     }
-    send_in_parts(std::move(message), std::move(usages),
-                  state_.peers.domain_contacts(round_, now));
+    send_in_parts(message, usages, state_.peers.domain_contacts(round_, now));
 }
 
-namespace
-{
-
-void prepare_further_part(peer_state& /*message*/) {}
-
-void prepare_further_part(domain_state& message)
-{
-    message.lists_serving = false;
-    message.serving.clear();
-}
-
-} // namespace
-
 /// Sends a message, split into several datagrams if needed.
 template <class Message>
-void peer_exchange::send_in_parts(Message message,
-                                  std::vector<organisation_usage> usages,
+void peer_exchange::send_in_parts(const Message& message,
+                                  const std::vector<organisation_usage>& usages,
                                   const std::vector<net::endpoint>& receivers)
 {
-    std::size_t sent = 0;
-    do
+    for (const std::string& part : encode_parts(self_, message, usages))
     {
-        const std::size_t count =
-            std::min(usages_per_datagram, usages.size() - sent);
-        const auto first = usages.begin() + static_cast<std::ptrdiff_t>(sent);
-        message.usages.assign(first,
-                              first + static_cast<std::ptrdiff_t>(count));
-        const std::string encoded = control::encode(self_, message);
         for (const net::endpoint& receiver : receivers)
         {
-            socket_->send(receiver, encoded);
+            socket_->send(receiver, part);
         }
-        prepare_further_part(message);
-        sent += count;
-    } while (sent < usages.size());
+    }
 }
 
 void peer_exchange::forward(domain_state message)
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -65,7 +65,8 @@
                   sent_reports& sent);
     void send_domain_state(selection which, bool last);
     template <class Message>
-    void send_in_parts(Message message, std::vector<organisation_usage> usages,
+    void send_in_parts(const Message& message,
+                       const std::vector<organisation_usage>& usages,
                        const std::vector<net::endpoint>& receivers);
     void forward(domain_state message);
 
--- a/tests/unit/gateway_usage_test.cpp
+++ b/tests/unit/gateway_usage_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/message_parts.hpp"
 #include "test_sections.hpp"
 #include <siskinflow/gateway/peers.hpp>
 #include <siskinflow/gateway/rate_share.hpp>
@@ -421,3 +422,45 @@
                 EXPECT(!senders.accept("north-1", 1, time.now()).has_value());
             });
 }
+
+// Guards against datagrams above the size that receivers accept, in domains
+// with many VMs or organisations, and against usages that are left out.
+Test(gateway_usage, messages_are_split_into_datagrams)
+{
+    for (const std::size_t vms : {0, 1, 55, 125})
+    {
+        for (const std::size_t organisations : {0, 1, 65, 66, 190, 1000})
+        {
+            section(std::to_string(vms) + " VMs, " +
+                        std::to_string(organisations) + " organisations",
+                    [&]
+                    {
+                        domain_state message;
+                        message.failure_domain = "north-1";
+                        message.lists_serving = true;
+                        message.serving.resize(vms);
+                        std::vector<organisation_usage> usages(organisations);
+                        std::size_t received = 0;
+                        bool lists_serving = true;
+                        for (const std::string& part :
+                             encode_parts({1, 2}, message, usages))
+                        {
+                            const auto envelope = control::decode_header(
+                                part, control::max_datagram_bytes);
+                            EXPECT(envelope.has_value());
+                            const auto decoded =
+                                control::decode_payload<domain_state>(
+                                    envelope.value());
+                            EXPECT(decoded.has_value());
+                            EXPECT(decoded.value().lists_serving ==
+                                   lists_serving);
+                            EXPECT(decoded.value().serving.size() ==
+                                   (lists_serving ? vms : 0));
+                            lists_serving = false;
+                            received += decoded.value().usages.size();
+                        }
+                        EXPECT(received == organisations);
+                    });
+        }
+    }
+}
