Repeat that a domain has no serving VM while its last VM stops

Change: the last VM of a domain repeats its last message at each interval while it stops, as the direct messages did before.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -60,7 +60,7 @@
     if (now >= next_domain_state_at_)
     {
         next_domain_state_at_ = now + state_.peers.domain_interval();
-        send_domain_state(selection::active, false);
+        send_domain_state(selection::active, announces_empty_domain());
     }
     else
     {
@@ -68,8 +68,16 @@
     }
 }
 
+/// The last VM of a domain repeats that none accepts callers, because it may
+/// have stopped before it knew all VMs of other domains.
+bool peer_exchange::announces_empty_domain() const
+{
+    return leaving_ && state_.peers.serving_in_domain(state_.now()).empty();
+}
+
 void peer_exchange::leave()
 {
+    leaving_ = true;
     const bool sums_up = state_.peers.sums_up_domain(state_.now());
     state_.peers.serve(false);
     send_state();
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -53,6 +53,7 @@
     using sent_reports = std::unordered_map<std::string, rate_report>;
 
     void on_timer();
+    bool announces_empty_domain() const;
     void on_datagram(std::string_view payload);
     void drop(const error& reason, std::size_t bytes);
     void apply(const peer_state& message, const incarnation_id& sender);
@@ -78,6 +79,7 @@
     time_point next_state_at_{};
     time_point next_domain_state_at_{};
     std::size_t round_ = 0; ///< Chooses the VMs of other domains.
+    bool leaving_ = false;
     sent_reports sent_own_;
     sent_reports sent_domain_;
     domain_senders senders_;
