Count a failure domain when it changes and skip logs without news

Cause: since the sums of domains, the silence of each peer was compared with an interval that counted the VMs of the domain anew, so that a lookup took time in the square of the domain. A relay walked all entries of a log for each waiting request ten times a second.

Change: the table keeps the size of its domain and updates it with its entries; a log answers at once when no change is later than the reader.

--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -264,11 +264,12 @@
     const peer* first_in_domain(time_point now) const;
     duration silence_limit(const vm_record& record) const;
     bool silent(const peer& entry, time_point now) const;
-    std::size_t domain_size() const;
+    void count_domain();
 
     vm_record self_;
     bool serving_ = false;
     std::map<std::string, peer> peers_;
+    std::size_t domain_size_ = 1; ///< VMs of this domain, this one included.
 };
 
 } // namespace siskinflow::gateway
--- a/include/siskinflow/store/change_log.hpp
+++ b/include/siskinflow/store/change_log.hpp
@@ -44,6 +44,7 @@
     std::multimap<store_revision, std::string> removals_;
     store_revision first_revision_ = 0; ///< Removals since then are known.
     store_revision revision_ = 0;
+    store_revision last_change_ = 0; ///< Latest revision of a change.
 };
 
 /// @brief Passes on what a mirror reports and keeps it in a log.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -187,6 +187,7 @@
     {
         // A changed record is a new machine with the same name, not heard yet.
         entry = peer{record, true, true, now, {}};
+        count_domain();
     }
     entry.listed = true;
 }
@@ -236,19 +237,19 @@
     return found == peers_.end() ? nullptr : &found->second.record;
 }
 
-std::size_t peer_table::domain_size() const
+void peer_table::count_domain()
 {
     const auto others =
         std::count_if(peers_.begin(), peers_.end(),
                       [this](const auto& entry)
                       { return in_own_domain(entry.second.record); });
-    return static_cast<std::size_t>(others) + 1;
+    domain_size_ = static_cast<std::size_t>(others) + 1;
 }
 
 duration peer_table::message_interval() const
 {
     return std::clamp(message_interval_per_vm *
-                          static_cast<std::int64_t>(domain_size()),
+                          static_cast<std::int64_t>(domain_size_),
                       min_message_interval, max_message_interval);
 }
 
@@ -292,6 +293,7 @@
                   [this, now](const auto& entry) {
                       return !entry.second.listed && silent(entry.second, now);
                   });
+    count_domain();
 }
 
 std::vector<net::endpoint> peer_table::direct_peers() const
@@ -360,7 +362,7 @@
 {
     const peer* first = first_in_domain(now);
     if (first == nullptr || sums_up_domain(now) ||
-        domain_size() < min_relayed_domain_size)
+        domain_size_ < min_relayed_domain_size)
     {
         return std::nullopt;
     }
--- a/src/store/change_log.cpp
+++ b/src/store/change_log.cpp
@@ -17,6 +17,7 @@
 
 void change_log::record(const store_change& change)
 {
+    last_change_ = std::max(last_change_, change.revision);
     if (!change.removed)
     {
         entries_[change.key] = change;
@@ -62,6 +63,10 @@
     }
     store_page out;
     out.revision = revision_;
+    if (after >= last_change_)
+    {
+        return out; // Waiting readers ask this several times a second.
+    }
     for (const auto& [key, entry] : entries_)
     {
         if (entry.revision > after)
