Give the readers of the store an interface of their own

relayed_store passed four calls of lease_store on that no mirror makes, the messages of a relay copied pages into types of the same fields, and the gateway kept a log beside each listener that fills it.

Change: prefix_reader has the two reading calls, and lease_store extends it; store_change is sent as it is, in the same order of fields; a recording_listener owns its log. The node's second start time is gone, and two tests share one listener. No behaviour changes.

--- a/include/siskinflow/gateway/relay_messages.hpp
+++ b/include/siskinflow/gateway/relay_messages.hpp
@@ -6,7 +6,6 @@
 #include <siskinflow/control/message_type.hpp>
 #include <siskinflow/store/lease_store.hpp>
 
-#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -14,9 +13,6 @@
 namespace siskinflow::gateway
 {
 
-/// @brief Largest page in bytes.
-constexpr std::size_t max_relayed_page_bytes = 8U << 20;
-
 /// @brief Asks for the entries of a prefix or its changes.
 struct store_changes_request
 {
@@ -24,8 +20,8 @@
         control::message_type::store_changes_request;
 
     std::string prefix;
-    bool list = false;       ///< All entries, without waiting.
-    std::uint64_t after = 0; ///< Revision that the sender knows.
+    bool list = false;        ///< All entries, without waiting.
+    store_revision after = 0; ///< Revision that the sender knows.
     std::uint32_t wait_ms = 0;
 
     template <class Archive>
@@ -35,29 +31,14 @@
     }
 };
 
-/// @brief One entry of `store_changes`.
-struct relayed_change
-{
-    std::string key;
-    std::string value;
-    std::uint64_t revision = 0;
-    bool removed = false;
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(key, value, revision, removed);
-    }
-};
-
 /// @brief Answer to `store_changes_request`.
 struct store_changes
 {
     static constexpr control::message_type type =
         control::message_type::store_changes;
 
-    std::uint64_t revision = 0;
-    std::vector<relayed_change> entries;
+    store_revision revision = 0;
+    std::vector<store_change> entries;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -66,10 +47,4 @@
     }
 };
 
-/// @brief Converts a page of the store to a message.
-store_changes to_message(const store_page& page);
-
-/// @brief Converts a message to a page of the store.
-store_page to_page(store_changes message);
-
 } // namespace siskinflow::gateway
--- a/include/siskinflow/store/change_log.hpp
+++ b/include/siskinflow/store/change_log.hpp
@@ -51,11 +51,12 @@
 class recording_listener final : public mirror_listener
 {
 public:
-    /// @param log the log; must outlive the listener
     /// @param next receives every call; must outlive the listener
-    recording_listener(change_log& log, mirror_listener& next)
-        : log_(log), next_(next)
+    explicit recording_listener(mirror_listener& next) : next_(next) {}
+
+    const change_log& log() const
     {
+        return log_;
     }
 
     void on_change(const store_change& change) override;
@@ -72,7 +73,7 @@
     }
 
 private:
-    change_log& log_;
+    change_log log_;
     mirror_listener& next_;
     std::function<void()> on_recorded_;
 };
--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -21,6 +21,12 @@
     std::string value;           ///< Empty if the key was removed.
     store_revision revision = 0; ///< Of the change.
     bool removed = false;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(key, value, revision, removed);
+    }
 };
 
 /// @brief Keys of a prefix, or changes of them, up to a revision.
@@ -39,14 +45,14 @@
     duration ttl{0}; ///< Counted from the arrival of each renewal.
 };
 
-/// @brief Client of a store with leases. Each call ends with exactly one
+/// @brief Reads the prefixes of a store. Each call ends with exactly one
 /// callback, never before the call has returned. A call fails with
 /// `errc::timeout` if the store can't be reached or does not answer, and with
 /// `errc::unavailable` if it refuses the call.
-class lease_store
+class prefix_reader
 {
 public:
-    virtual ~lease_store() = default;
+    virtual ~prefix_reader() = default;
 
     template <class T>
     using callback = std::function<void(result<T>)>;
@@ -63,7 +69,13 @@
     /// `after`
     virtual void await_changes(std::string prefix, store_revision after,
                                duration wait, callback<store_page> done) = 0;
+};
 
+/// @brief Client of a store with leases. Its calls end as those of
+/// `prefix_reader`.
+class lease_store : public prefix_reader
+{
+public:
     /// @brief Takes a lease.
     virtual void grant_lease(duration ttl, duration timeout,
                              callback<store_lease> done) = 0;
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -65,7 +65,7 @@
     /// @param time the timers' clock
     /// @param prefix keys to mirror
     /// @param listener told of changes; must outlive the mirror
-    store_mirror(lease_store& source, timer_queue& timers, const clock& time,
+    store_mirror(prefix_reader& source, timer_queue& timers, const clock& time,
                  std::string prefix, const mirror_options& options,
                  mirror_listener& listener);
     ~store_mirror();
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -86,9 +86,8 @@
                 std::move(settings)),
           operators(state, platform_in.records),
           registrations(state, platform_in.records), vms(state),
-          recorded_operators(operator_log, operators),
-          recorded_registrations(target_log, registrations),
-          recorded_vms(vm_log, vms),
+          recorded_operators(operators), recorded_registrations(registrations),
+          recorded_vms(vms),
           shared_reads(loop_in, http_client, platform_in.store, incarnation,
                        [this] { return state.peers.store_relay(state.now()); }),
           operator_mirror(operator_store(), loop_in.timers(), loop_in.time(),
@@ -106,16 +105,11 @@
           peer_messages(state, incarnation, [this] { return ready(); }),
           relay(loop_in, incarnation, [this] { return passes_changes_on(); })
     {
-        relay.add(platform_in.records.operator_prefix(), operator_log,
-                  [this] { operator_mirror.catch_up(); });
-        relay.add(platform_in.records.target_prefix(), target_log,
-                  [this] { target_mirror.catch_up(); });
-        relay.add(vm_prefix, vm_log, [this] { vm_mirror.catch_up(); });
-        for (recording_listener* recorded :
-             {&recorded_operators, &recorded_registrations, &recorded_vms})
-        {
-            recorded->on_recorded([this] { relay.on_recorded(); });
-        }
+        relay_prefix(platform_in.records.operator_prefix(), recorded_operators,
+                     operator_mirror);
+        relay_prefix(platform_in.records.target_prefix(),
+                     recorded_registrations, target_mirror);
+        relay_prefix(vm_prefix, recorded_vms, vm_mirror);
     }
 
     net::event_loop& loop;
@@ -128,9 +122,6 @@
     operator_feed operators;
     target_feed registrations;
     vm_feed vms;
-    change_log operator_log;
-    change_log target_log;
-    change_log vm_log;
     recording_listener recorded_operators;
     recording_listener recorded_registrations;
     recording_listener recorded_vms;
@@ -148,7 +139,6 @@
     std::unique_ptr<net::http_server> metrics_page;
     std::vector<std::shared_ptr<void>> timers;
     std::function<void()> on_stopped;
-    time_point started_at{};
     time_point forced_stop_at{};
     time_point registration_lost_at{}; ///< When renewals began to fail.
 
@@ -159,7 +149,7 @@
     }
 
     /// With a revocation limit, each VM needs the store's own confirmation.
-    lease_store& operator_store()
+    prefix_reader& operator_store()
     {
         if (state.settings.revocation_limit)
         {
@@ -168,6 +158,15 @@
         return shared_reads;
     }
 
+    /// Lets the other VMs of the failure domain read a prefix through this one.
+    void relay_prefix(std::string prefix, recording_listener& recorded,
+                      store_mirror& mirror)
+    {
+        relay.add(std::move(prefix), recorded.log(),
+                  [&mirror] { mirror.catch_up(); });
+        recorded.on_recorded([this] { relay.on_recorded(); });
+    }
+
     /// Whether this VM reads the store itself and knows the latest changes.
     bool passes_changes_on() const
     {
@@ -236,7 +235,6 @@
 
 void gateway_node::impl::start_tasks()
 {
-    started_at = state.now();
     log.write(event_id::started,
               {{"vm", state.settings.self.name},
                {"incarnation", to_string(incarnation)},
@@ -375,7 +373,7 @@
     log.flush();
     log.write(event_id::stopped,
               {{"reason", idle ? "idle" : "grace time expired"},
-               {"uptime_s", to_seconds(state.now() - started_at)}});
+               {"uptime_s", to_seconds(state.now() - state.started_at)}});
     const auto callback = std::exchange(on_stopped, nullptr);
     callback();
 }
--- a/src/gateway/relayed_store.cpp
+++ b/src/gateway/relayed_store.cpp
@@ -19,6 +19,7 @@
 constexpr duration relay_connect_timeout = std::chrono::milliseconds(250);
 /// Time for which a relay that failed is not asked.
 constexpr duration relay_pause = std::chrono::seconds(5);
+constexpr std::size_t max_page_bytes = 8U << 20;
 
 constexpr int status_ok = 200;
 constexpr int status_stale = 410;
@@ -41,7 +42,7 @@
                         std::to_string(fetched.response.status));
     }
     const auto envelope =
-        control::decode_header(fetched.response.body, max_relayed_page_bytes);
+        control::decode_header(fetched.response.body, max_page_bytes);
     if (!envelope)
     {
         return envelope.error();
@@ -51,16 +52,15 @@
     {
         return message.error();
     }
-    store_page out = to_page(std::move(message).value());
-    out.relayed = true;
-    return out;
+    return store_page{std::move(message.value().entries),
+                      message.value().revision, true};
 }
 
 } // namespace
 
 struct relayed_store::impl : std::enable_shared_from_this<impl>
 {
-    impl(net::event_loop& loop, net::http_caller& caller, lease_store& direct,
+    impl(net::event_loop& loop, net::http_caller& caller, prefix_reader& direct,
          const incarnation_id& self, relay_choice choose)
         : loop(loop), caller(caller), direct(direct), self(self),
           choose(std::move(choose))
@@ -69,7 +69,7 @@
 
     net::event_loop& loop;
     net::http_caller& caller;
-    lease_store& direct;
+    prefix_reader& direct;
     incarnation_id self;
     relay_choice choose;
     std::map<net::endpoint, time_point> paused_until;
@@ -104,7 +104,7 @@
             std::chrono::milliseconds(message.wait_ms) + relay_margin;
         const std::uint64_t id = ++last_call_id;
         pending_calls[id] = net::fetch(
-            caller, std::move(request), max_relayed_page_bytes,
+            caller, std::move(request), max_page_bytes,
             [weak = weak_from_this(), id,
              done = std::move(done)](const net::fetch_result& fetched)
             {
@@ -177,7 +177,7 @@
 };
 
 relayed_store::relayed_store(net::event_loop& loop, net::http_caller& caller,
-                             lease_store& direct, const incarnation_id& self,
+                             prefix_reader& direct, const incarnation_id& self,
                              relay_choice choose)
     : impl_(
           std::make_shared<impl>(loop, caller, direct, self, std::move(choose)))
@@ -207,8 +207,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             std::min(wait, relay_wait))
             .count());
-    const store_changes_request message{
-        prefix, false, static_cast<std::uint64_t>(after), wait_ms};
+    const store_changes_request message{prefix, false, after, wait_ms};
     impl_->read(
         message,
         [&direct = impl_->direct, prefix, after,
@@ -217,29 +216,4 @@
         std::move(done));
 }
 
-void relayed_store::grant_lease(duration ttl, duration timeout,
-                                callback<store_lease> done)
-{
-    impl_->direct.grant_lease(ttl, timeout, std::move(done));
-}
-
-void relayed_store::renew_lease(std::uint64_t id, duration timeout,
-                                callback<void> done)
-{
-    impl_->direct.renew_lease(id, timeout, std::move(done));
-}
-
-void relayed_store::end_lease(std::uint64_t id, duration timeout,
-                              callback<void> done)
-{
-    impl_->direct.end_lease(id, timeout, std::move(done));
-}
-
-void relayed_store::put(std::string key, std::string value, std::uint64_t lease,
-                        duration timeout, callback<void> done)
-{
-    impl_->direct.put(std::move(key), std::move(value), lease, timeout,
-                      std::move(done));
-}
-
 } // namespace siskinflow::gateway
--- a/src/gateway/relayed_store.hpp
+++ b/src/gateway/relayed_store.hpp
@@ -18,12 +18,12 @@
 namespace siskinflow::gateway
 {
 
-/// @brief Client of the store that reads from a relay while there is one and
-/// from the store itself otherwise. Writes and leases go to the store.
+/// @brief Reads from a relay while there is one and from the store itself
+/// otherwise.
 ///
 /// A relay that fails, refuses or knows less than this VM is not asked again
 /// for some seconds, and the store is asked in its place at once.
-class relayed_store final : public lease_store
+class relayed_store final : public prefix_reader
 {
 public:
     /// @brief Chooses the relay; empty to ask the store.
@@ -33,7 +33,7 @@
     /// @param caller makes the calls to relays; must outlive the store
     /// @param direct the store itself; must outlive this object
     relayed_store(net::event_loop& loop, net::http_caller& caller,
-                  lease_store& direct, const incarnation_id& self,
+                  prefix_reader& direct, const incarnation_id& self,
                   relay_choice choose);
     ~relayed_store() override;
 
@@ -41,14 +41,6 @@
               callback<store_page> done) override;
     void await_changes(std::string prefix, store_revision after, duration wait,
                        callback<store_page> done) override;
-    void grant_lease(duration ttl, duration timeout,
-                     callback<store_lease> done) override;
-    void renew_lease(std::uint64_t id, duration timeout,
-                     callback<void> done) override;
-    void end_lease(std::uint64_t id, duration timeout,
-                   callback<void> done) override;
-    void put(std::string key, std::string value, std::uint64_t lease,
-             duration timeout, callback<void> done) override;
 
 private:
     struct impl;
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -25,34 +25,6 @@
 
 } // namespace
 
-store_changes to_message(const store_page& page)
-{
-    store_changes out;
-    out.revision = static_cast<std::uint64_t>(page.revision);
-    out.entries.reserve(page.entries.size());
-    for (const store_change& entry : page.entries)
-    {
-        out.entries.push_back({entry.key, entry.value,
-                               static_cast<std::uint64_t>(entry.revision),
-                               entry.removed});
-    }
-    return out;
-}
-
-store_page to_page(store_changes message)
-{
-    store_page out;
-    out.revision = static_cast<store_revision>(message.revision);
-    out.entries.reserve(message.entries.size());
-    for (relayed_change& entry : message.entries)
-    {
-        out.entries.push_back({std::move(entry.key), std::move(entry.value),
-                               static_cast<store_revision>(entry.revision),
-                               entry.removed});
-    }
-    return out;
-}
-
 store_relay::store_relay(net::event_loop& loop, const incarnation_id& self,
                          std::function<bool()> current)
     : loop_(loop), self_(self), current_(std::move(current))
@@ -131,10 +103,9 @@
         respond(exchange, log.listing());
         return true;
     }
-    const auto after = static_cast<store_revision>(message.after);
-    const auto page = log.changes_after(after);
+    const auto page = log.changes_after(message.after);
     // A page of an earlier revision would take the reader back.
-    const bool behind = page && page.value().revision < after;
+    const bool behind = page && page.value().revision < message.after;
     const bool nothing_new = page && (page.value().entries.empty() || behind);
     if (behind)
     {
@@ -172,9 +143,11 @@
         refuse(exchange, status_stale);
         return;
     }
-    exchange->respond({status_ok,
-                       {{"content-type", "application/octet-stream"}},
-                       control::encode(self_, to_message(page.value()))});
+    exchange->respond(
+        {status_ok,
+         {{"content-type", "application/octet-stream"}},
+         control::encode(self_, store_changes{page.value().revision,
+                                              page.value().entries})});
 }
 
 void store_relay::refuse(const net::exchange_ptr& exchange, int status)
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -20,7 +20,7 @@
 
 struct store_mirror::impl : std::enable_shared_from_this<impl>
 {
-    impl(lease_store& source, timer_queue& timers, const clock& time,
+    impl(prefix_reader& source, timer_queue& timers, const clock& time,
          std::string prefix, const mirror_options& options,
          mirror_listener& listener)
         : source(source), timers(timers), time(time), prefix(std::move(prefix)),
@@ -28,7 +28,7 @@
     {
     }
 
-    lease_store& source;
+    prefix_reader& source;
     timer_queue& timers;
     const clock& time;
     std::string prefix;
@@ -203,7 +203,7 @@
     }
 };
 
-store_mirror::store_mirror(lease_store& source, timer_queue& timers,
+store_mirror::store_mirror(prefix_reader& source, timer_queue& timers,
                            const clock& time, std::string prefix,
                            const mirror_options& options,
                            mirror_listener& listener)
--- a/tests/unit/gateway_relay_test.cpp
+++ b/tests/unit/gateway_relay_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/store_relay.hpp"
 #include "kv_service.hpp"
 #include "kv_store.hpp"
+#include "map_listener.hpp"
 #include "test_sections.hpp"
 #include <siskinflow/net/http_server.hpp>
 #include <siskinflow/store/change_log.hpp>
@@ -20,37 +21,6 @@
 namespace
 {
 
-/// Copies mirrored entries into a map and checks that no key goes back.
-class map_listener final : public mirror_listener
-{
-public:
-    void on_change(const store_change& change) override
-    {
-        store_revision& last = revisions[change.key];
-        went_back = went_back || change.revision < last;
-        last = change.revision;
-        if (change.removed)
-        {
-            values.erase(change.key);
-        }
-        else
-        {
-            values[change.key] = change.value;
-        }
-    }
-    void on_listed() override
-    {
-        listed = true;
-    }
-    void on_unavailable(const error& /*reason*/) override {}
-    void on_available(duration /*down*/) override {}
-
-    std::map<std::string, std::string> values;
-    std::map<std::string, store_revision> revisions;
-    bool went_back = false;
-    bool listed = false;
-};
-
 net::endpoint free_address(net::event_loop& loop)
 {
     const auto probe = net::http_server::listen(
@@ -70,7 +40,7 @@
                                        { service.handle(call); })
                   .value())),
           caller(loop), direct(caller, {"127.0.0.1", store_server->port()}),
-          recorded(log, relay_listener),
+          recorded(relay_listener),
           relay_mirror(direct, loop.timers(), time, "a/", {10ms}, recorded),
           relay(loop, incarnation_id{1, 1}, [this] { return relay_current; }),
           reads(loop, caller, direct, incarnation_id{2, 2},
@@ -78,7 +48,7 @@
           mirror(reads, loop.timers(), time, "a/", {10ms, 5ms}, listener),
           tick_timer(loop.every(20ms, [this] { service.tick(); }))
     {
-        relay.add("a/", log, [this] { relay_mirror.catch_up(); });
+        relay.add("a/", recorded.log(), [this] { relay_mirror.catch_up(); });
         recorded.on_recorded([this] { relay.on_recorded(); });
     }
 
@@ -89,9 +59,9 @@
         EXPECT(relay.listen(address).has_value());
         relay_address = address;
         relay_mirror.start();
-        EXPECT(run_until([&] { return relay_listener.listed; }));
+        EXPECT(run_until([&] { return relay_listener.listings > 0; }));
         mirror.start();
-        EXPECT(run_until([&] { return listener.listed; }));
+        EXPECT(run_until([&] { return listener.listings > 0; }));
     }
 
     bool run_until(const std::function<bool()>& condition, duration limit = 8s)
@@ -130,7 +100,6 @@
     std::unique_ptr<net::http_server> store_server;
     net::http_client caller;
     platform::kv_store direct;
-    change_log log;
     map_listener relay_listener;
     recording_listener recorded;
     store_mirror relay_mirror;
@@ -218,7 +187,7 @@
                 relay_fixture fixture;
                 fixture.service.put("a/1", "old");
                 fixture.start();
-                change_log behind = fixture.log;
+                change_log behind = fixture.recorded.log();
                 store_relay older(fixture.loop, incarnation_id{3, 3},
                                   [] { return true; });
                 older.add("a/", behind, [] {});
@@ -257,15 +226,17 @@
         fixture.service.put("b/1", std::to_string(i));
     }
     map_listener later_listener;
-    relayed_store later_reads(
-        fixture.loop, fixture.caller, fixture.direct, incarnation_id{4, 4},
-        [&]() -> std::optional<net::endpoint> {
-            return later_listener.listed ? fixture.relay_address : std::nullopt;
-        });
+    relayed_store later_reads(fixture.loop, fixture.caller, fixture.direct,
+                              incarnation_id{4, 4},
+                              [&]() -> std::optional<net::endpoint> {
+                                  return later_listener.listings > 0
+                                             ? fixture.relay_address
+                                             : std::nullopt;
+                              });
     store_mirror later(later_reads, fixture.loop.timers(), fixture.time, "a/",
                        {10ms, 5ms}, later_listener);
     later.start();
-    EXPECT(fixture.run_until([&] { return later_listener.listed; }));
+    EXPECT(fixture.run_until([&] { return later_listener.listings > 0; }));
     const time_point settled = fixture.time.now() + 300ms;
     fixture.run_until([&] { return fixture.time.now() >= settled; });
     const std::uint64_t calls_before = fixture.store_calls();
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -1,5 +1,6 @@
 #include "kv_service.hpp"
 #include "kv_store.hpp"
+#include "map_listener.hpp"
 #include "store_records.hpp"
 #include "test_sections.hpp"
 #include <siskinflow/net/http_server.hpp>
@@ -18,40 +19,6 @@
 namespace
 {
 
-/// Copies mirrored entries into a map.
-class map_listener final : public mirror_listener
-{
-public:
-    void on_change(const store_change& change) override
-    {
-        if (change.removed)
-        {
-            values.erase(change.key);
-        }
-        else
-        {
-            values[change.key] = change.value;
-        }
-    }
-    void on_listed() override
-    {
-        ++listings;
-    }
-    void on_unavailable(const error& /*reason*/) override
-    {
-        ++outages;
-    }
-    void on_available(duration /*down*/) override
-    {
-        ++recoveries;
-    }
-
-    std::map<std::string, std::string> values;
-    int listings = 0;
-    int outages = 0;
-    int recoveries = 0;
-};
-
 /// The store stand-in served over HTTP, with a client.
 struct store_fixture
 {
