--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -471,9 +471,7 @@
     }
     if (self->exceeds_body_limit())
     {
-        self->client_ = nullptr;
         self->end(call_outcome::truncated);
-        return -1;
     }
     if (self->ended_)
     {
--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -180,13 +180,13 @@
     std::jthread worker_{[this] { serve(); }};
 };
 
-fetch_result fetch_response(event_loop& loop, http_client& client,
-                            std::string answer, close_mode mode)
+/// Calls a server on the loopback interface and waits for the end of the call.
+fetch_result fetch_from(std::uint16_t port, event_loop& loop,
+                        http_client& client, duration timeout)
 {
-    const single_response_server server(std::move(answer), mode);
     client_request request;
-    request.peer = {"127.0.0.1", server.port()};
-    request.timeout = 2s;
+    request.peer = {"127.0.0.1", port};
+    request.timeout = timeout;
     std::optional<fetch_result> fetched;
     const auto call =
         fetch(client, request, 1 << 20,
@@ -198,6 +198,13 @@
     return std::move(*fetched);
 }
 
+fetch_result fetch_response(event_loop& loop, http_client& client,
+                            std::string answer, close_mode mode)
+{
+    const single_response_server server(std::move(answer), mode);
+    return fetch_from(server.port(), loop, client, 2s);
+}
+
 } // namespace
 
 // Guards against a target's answer that ends the process, and against a
@@ -262,20 +269,7 @@
     http_client client(loop);
     const repeating_server server;
     const auto fetch_body = [&]
-    {
-        client_request request;
-        request.peer = {"127.0.0.1", server.port()};
-        request.timeout = 2s;
-        std::optional<fetch_result> fetched;
-        const auto call =
-            fetch(client, request, 1 << 20,
-                  [&](fetch_result value) { fetched = std::move(value); });
-        while (!fetched)
-        {
-            loop.run_once(5ms);
-        }
-        return fetched->response.body;
-    };
+    { return fetch_from(server.port(), loop, client, 2s).response.body; };
     EXPECT(fetch_body() == "first");
     const time_point copy_sent = time.now() + 3 * server.copy_delay;
     while (time.now() < copy_sent)
@@ -296,18 +290,7 @@
         [&](const std::string& prefix, const std::string& repeated)
     {
         const endless_response_server server(prefix, repeated);
-        client_request request;
-        request.peer = {"127.0.0.1", server.port()};
-        request.timeout = 5s;
-        std::optional<fetch_result> fetched;
-        const auto call =
-            fetch(client, request, 1 << 20,
-                  [&](fetch_result value) { fetched = std::move(value); });
-        while (!fetched)
-        {
-            loop.run_once(5ms);
-        }
-        return fetched->outcome;
+        return fetch_from(server.port(), loop, client, 5s).outcome;
     };
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = ok + "transfer-encoding: chunked\r\n\r\n";
