--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -58,7 +58,7 @@
         {
             vms.push_back(std::make_unique<gateway>(
                 "front-" + std::to_string(i), i % 2 == 0 ? "zone-a" : "zone-b",
-                where.port()));
+                door.port()));
             vms.back()->start();
         }
         for (const auto& vm : vms)
@@ -96,6 +96,7 @@
 
     record& notes;
     store where;
+    store::door door{where};
     std::vector<std::unique_ptr<upstream>> lookups;
     std::vector<std::unique_ptr<upstream>> orders;
     std::vector<std::unique_ptr<gateway>> vms;
--- a/review/lib/platform.cpp
+++ b/review/lib/platform.cpp
@@ -421,9 +421,9 @@
 
 // Store
 
-store::store()
-    : listener_(
-          std::make_unique<listener>([this](connection& peer) { serve(peer); }))
+store::door::door(store& owner)
+    : owner_(owner), listener_(std::make_unique<listener>(
+                         [this](connection& peer) { serve(peer); }))
 {
 }
 
@@ -494,9 +494,10 @@
     }
 }
 
-void store::serve(connection& peer)
+void store::door::serve(connection& peer)
 {
     constexpr milliseconds idle_limit{60'000};
+    bool lost_answer = false;
     for (;;)
     {
         const message request = peer.receive(idle_limit);
@@ -504,9 +505,16 @@
         {
             return;
         }
-        const reply answer = handle(request);
+        lost_answer = lost_answer || silent_;
+        if (lost_answer)
+        {
+            continue;
+        }
+        const reply answer = owner_.handle(request);
         const std::string body = answer.body.dump();
-        if (!peer.send("HTTP/1.1 " + std::to_string(answer.status) +
+        lost_answer = silent_;
+        if (!lost_answer &&
+            !peer.send("HTTP/1.1 " + std::to_string(answer.status) +
                        " Status\r\nContent-Type: application/json\r\n"
                        "Content-Length: " +
                        std::to_string(body.size()) + "\r\n\r\n" + body))
@@ -618,7 +626,8 @@
 
 // Configuration
 
-json configuration(const std::vector<route>& routes)
+json configuration(const std::vector<route>& routes, const std::string& version,
+                   const std::vector<std::string>& keys)
 {
     json route_rows = json::array();
     json service_rows = json::array();
@@ -629,7 +638,7 @@
                               1, entry.max_attempts, entry.name});
         service_rows.push_back({entry.name, "/health", 330, "0s", 0});
     }
-    return {{"version", "r1"},
+    return {{"version", version},
             {"routes",
              {{"columns",
                {"name", "host", "prefix", "kind", "timeout", "target-latency",
@@ -642,7 +651,7 @@
               {"rows", service_rows}}},
             {"tenants",
              {{"columns", {"name", "api-keys", "rate-per-s", "burst"}},
-              {"rows", {{tenant_name, json::array({tenant_key}), 0, 0}}}}},
+              {"rows", {{tenant_name, json(keys), 0, 0}}}}},
             {"limits",
              {{"max-header-bytes", 8192},
               {"max-body-bytes", 1048576},
@@ -738,7 +747,7 @@
            "\r\nSiskinflow-Request-Id: " + request.id +
            "\r\nSiskinflow-Request-Deadline-Ms: " +
            std::to_string(request.deadline.count()) +
-           "\r\nAuthorization: Bearer " + tenant_key + "\r\n" +
+           "\r\nAuthorization: Bearer " + request.key + "\r\n" +
            (has_body ? "Content-Length: " +
                            std::to_string(request.body.size()) + "\r\n"
                      : std::string()) +
--- a/review/lib/platform.hpp
+++ b/review/lib/platform.hpp
@@ -132,11 +132,31 @@
 class store
 {
 public:
-    store();
-    std::uint16_t port() const
+    /// @brief One machine's way to the store.
+    class door
     {
-        return listener_->port();
-    }
+    public:
+        explicit door(store& owner);
+        std::uint16_t port() const
+        {
+            return listener_->port();
+        }
+        /// @brief From now on calls of this machine get no answer, also those
+        /// that wait. A connection that lost an answer returns nothing
+        /// further.
+        void silence(bool silent)
+        {
+            silent_ = silent;
+        }
+
+    private:
+        void serve(connection& peer);
+
+        store& owner_;
+        std::atomic<bool> silent_{false};
+        std::unique_ptr<listener> listener_;
+    };
+
     /// @brief Writes an item as the operator or an upstream does.
     void put(const std::string& key, const nlohmann::json& value);
     void remove(const std::string& key);
@@ -153,7 +173,6 @@
         nlohmann::json body;
     };
 
-    void serve(connection& peer);
     reply handle(const message& request);
     reply watch(const std::map<std::string, std::string>& query);
     reply range(const std::map<std::string, std::string>& query);
@@ -170,7 +189,6 @@
     std::map<std::uint64_t, lease_state> leases_;
     std::uint64_t last_lease_ = 0;
     std::uint64_t revision_ = 1;
-    std::unique_ptr<listener> listener_;
 };
 
 /// @brief One route of the configuration.
@@ -188,8 +206,12 @@
 constexpr const char* tenant_key = "key-of-acme";
 constexpr const char* tenant_name = "acme";
 
-/// @brief The first configuration: routes, a service for each, one tenant.
-nlohmann::json configuration(const std::vector<route>& routes);
+/// @brief A configuration: routes, a service for each, one tenant.
+/// @param keys of the tenant
+nlohmann::json configuration(const std::vector<route>& routes,
+                             const std::string& version = "r1",
+                             const std::vector<std::string>& keys = {
+                                 tenant_key});
 
 /// @brief An upstream. It registers itself and hands each request that names
 /// it to `on_request`; others get 421.
@@ -246,6 +268,7 @@
     std::string path;
     std::string body;
     milliseconds deadline{3000};
+    std::string key = tenant_key;
 };
 
 std::string to_text(const client_request& request);
