Check every head of an answer before h2o reads it

Cause: h2o's client skips an interim head and reads the head behind it in the same pass. The check that keeps malformed lengths and encodings from h2o, which asserts on them, ended at the first empty line. It also ignored a space behind a length, which h2o does not.

Change: is_parsable_response_head reads head after head until one is final or incomplete. It also refuses statuses that no answer to this client can have.

Evidence: with the former check, survive_malformed_heads_behind_interim_heads ends with the assertion of h2o in http1client.c:216, and refuse_statuses_that_are_no_answer fails at '020 OK'. Both pass now.

--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -3,6 +3,9 @@
 #include <siskinflow/net/http_types.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
+#include <system_error>
 
 namespace siskinflow::net
 {
@@ -13,13 +16,11 @@
 /// Any number with this many digits fits into 64 bits.
 constexpr std::size_t max_length_digits = 18;
 
-std::string_view trimmed(std::string_view text)
+/// Without the spaces in front. Those behind are kept, because h2o keeps them.
+std::string_view without_leading_spaces(std::string_view text)
 {
-    const auto first = text.find_first_not_of(" \t\r");
-    const auto last = text.find_last_not_of(" \t\r");
-    return first == std::string_view::npos
-               ? std::string_view()
-               : text.substr(first, last - first + 1);
+    text.remove_prefix(std::min(text.find_first_not_of(" \t"), text.size()));
+    return text;
 }
 
 bool is_length(std::string_view text)
@@ -39,8 +40,8 @@
     {
         const auto colon = std::min(line.find(':'), line.size());
         const std::string_view name = line.substr(0, colon);
-        const std::string_view value =
-            trimmed(line.substr(std::min(colon + 1, line.size())));
+        const std::string_view value = without_leading_spaces(
+            line.substr(std::min(colon + 1, line.size())));
         if (equal_ignoring_case(name, "transfer-encoding"))
         {
             const bool supported =
@@ -59,32 +60,130 @@
     }
 };
 
+/// A status line as RFC 9112, section 4, defines it, with a status that an
+/// answer to this client can have: it never asks to switch protocols.
+struct status_line
+{
+    int status = 0; ///< 0: not valid.
+
+    explicit status_line(std::string_view line)
+    {
+        constexpr std::string_view version = "HTTP/1.";
+        constexpr std::size_t status_at = 9; // After "HTTP/1.1 ".
+        constexpr std::size_t status_end = status_at + 3;
+        const bool framed =
+            line.size() >= status_end && line.starts_with(version) &&
+            (line[version.size()] == '0' || line[version.size()] == '1') &&
+            line[status_at - 1] == ' ' &&
+            (line.size() == status_end || line[status_end] == ' ');
+        if (!framed)
+        {
+            return;
+        }
+        int parsed = 0;
+        const char* first = line.data() + status_at;
+        const char* last = line.data() + status_end;
+        const auto [end, failure] = std::from_chars(first, last, parsed);
+        const bool valid = failure == std::errc() && end == last &&
+                           parsed >= min_status && parsed <= max_status &&
+                           parsed != switching_protocols;
+        status = valid ? parsed : 0;
+    }
+
+    bool valid() const
+    {
+        return status != 0;
+    }
+
+    bool interim() const
+    {
+        return status < first_final_status;
+    }
+
+private:
+    static constexpr int min_status = 100;
+    static constexpr int switching_protocols = 101;
+    static constexpr int first_final_status = 200;
+    static constexpr int max_status = 599;
+};
+
+enum class head_state
+{
+    incomplete,
+    interim, ///< Complete; another head follows.
+    final,
+    malformed,
+};
+
+/// Removes the first line with its line ending.
+/// @return nothing if the line is incomplete
+std::optional<std::string_view> take_line(std::string_view& received)
+{
+    const auto end = received.find('\n');
+    if (end == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    std::string_view line = received.substr(0, end);
+    received.remove_prefix(end + 1);
+    if (line.ends_with('\r'))
+    {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+/// Removes one head from the front of the received bytes.
+head_state take_head(std::string_view& received)
+{
+    const auto first_line = take_line(received);
+    if (!first_line)
+    {
+        return head_state::incomplete;
+    }
+    const status_line status(*first_line);
+    if (!status.valid())
+    {
+        return head_state::malformed;
+    }
+    framing_fields fields;
+    while (const auto line = take_line(received))
+    {
+        if (line->empty())
+        {
+            const bool ambiguous = fields.chunked && !fields.length.empty();
+            return ambiguous          ? head_state::malformed
+                   : status.interim() ? head_state::interim
+                                      : head_state::final;
+        }
+        if (!fields.parse_line(*line))
+        {
+            return head_state::malformed;
+        }
+    }
+    return head_state::incomplete;
+}
+
 } // namespace
 
 bool is_parsable_response_head(std::string_view received, std::size_t max_bytes)
 {
     const bool may_continue = received.size() <= max_bytes;
     received = received.substr(0, max_bytes);
-    framing_fields fields;
-    bool is_status_line = true;
+    // h2o skips interim heads and reads the head behind them in the same pass.
     while (!received.empty())
     {
-        const auto end = received.find('\n');
-        if (end == std::string_view::npos)
+        switch (take_head(received))
         {
+        case head_state::incomplete:
             return may_continue;
-        }
-        const std::string_view line = trimmed(received.substr(0, end));
-        received.remove_prefix(end + 1);
-        if (line.empty() && !is_status_line)
-        {
-            return !(fields.chunked && !fields.length.empty());
-        }
-        if (!is_status_line && !fields.parse_line(line))
-        {
+        case head_state::interim:
+            break;
+        case head_state::final:
+            return true;
+        case head_state::malformed:
             return false;
         }
-        is_status_line = false;
     }
     return may_continue;
 }
--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace siskinflow;
 using namespace siskinflow::net;
@@ -70,14 +71,14 @@
     std::uint16_t port_ = 0;
 };
 
-/// Answers one connection with given bytes and ends it.
+/// Answers one connection with given parts and ends it.
 class single_response_server
 {
 public:
-    single_response_server(std::string answer, close_mode mode)
+    single_response_server(std::vector<std::string> parts, close_mode mode)
     {
-        worker_ = std::jthread([this, answer = std::move(answer), mode]
-                               { serve(answer, mode); });
+        worker_ = std::jthread([this, parts = std::move(parts), mode]
+                               { serve(parts, mode); });
     }
 
     std::uint16_t port() const
@@ -86,12 +87,16 @@
     }
 
 private:
-    void serve(const std::string& answer, close_mode mode) const
+    void serve(const std::vector<std::string>& parts, close_mode mode) const
     {
         const int connection = listener_.accept_request();
-        (void)::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
-        // Lets the client read what was sent before the connection ends.
-        std::this_thread::sleep_for(30ms);
+        for (const std::string& part : parts)
+        {
+            (void)::send(connection, part.data(), part.size(), MSG_NOSIGNAL);
+            // Lets the client read what was sent before the next part or the
+            // end of the connection.
+            std::this_thread::sleep_for(30ms);
+        }
         const linger abortive_close{1, 0};
         if (mode == close_mode::reset)
         {
@@ -201,7 +206,14 @@
 fetch_result fetch_response(event_loop& loop, http_client& client,
                             std::string answer, close_mode mode)
 {
-    const single_response_server server(std::move(answer), mode);
+    const single_response_server server({std::move(answer)}, mode);
+    return fetch_from(server.port(), loop, client, 2s);
+}
+
+fetch_result fetch_in_parts(event_loop& loop, http_client& client,
+                            std::vector<std::string> parts)
+{
+    const single_response_server server(std::move(parts), close_mode::close);
     return fetch_from(server.port(), loop, client, 2s);
 }
 
@@ -348,6 +360,74 @@
     EXPECT(fetched.response.body == "whole");
 }
 
+// Guards against a malformed head behind an interim head, or split over several
+// reads, that ends the process with all calls in progress.
+Test(net_client_faults, survive_malformed_heads_behind_interim_heads)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string malformed[] = {
+        "HTTP/1.1 200 OK\r\ncontent-length: 1o\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2 \r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked \r\n\r\n"};
+    for (const std::string& head : malformed)
+    {
+        for (const std::string& prefix :
+             {std::string(), interim, interim + interim,
+              std::string("HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n")})
+        {
+            section("a malformed head",
+                    [&]
+                    {
+                        EXPECT(fetch_response(loop, client, prefix + head,
+                                              close_mode::close)
+                                   .outcome == call_outcome::broken);
+                    });
+        }
+    }
+    section("interim head and malformed head in separate packets",
+            [&]
+            {
+                EXPECT(fetch_in_parts(loop, client, {interim, malformed[0]})
+                           .outcome == call_outcome::broken);
+            });
+    section("a malformed head that arrives in two packets",
+            [&]
+            {
+                EXPECT(fetch_in_parts(loop, client,
+                                      {interim + "HTTP/1.1 200 OK\r\ncont",
+                                       "ent-length: 1o\r\n\r\nab"})
+                           .outcome == call_outcome::broken);
+            });
+}
+
+// Guards against an answer with a status that no answer to this client can
+// have, which is passed on as if it were one.
+Test(net_client_faults, refuse_statuses_that_are_no_answer)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    for (const std::string line :
+         {"HTTP/1.1 020 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+          "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/2.0 200 OK",
+          "HTTP/1.1 101 Switching Protocols"})
+    {
+        section(line.c_str(),
+                [&]
+                {
+                    EXPECT(fetch_response(loop, client,
+                                          line + "\r\ncontent-length: 2"
+                                                 "\r\n\r\nab",
+                                          close_mode::close)
+                               .outcome == call_outcome::broken);
+                });
+    }
+}
+
 // Guards against a truncated or changed head that ends the process.
 Test(net_client_faults, survive_mutated_heads)
 {
@@ -358,7 +438,10 @@
         "a mutated head ends the call",
         [&]
         {
-            std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+            const std::string interim = *rc::gen::element<std::string>(
+                "", "HTTP/1.1 100 Continue\r\n\r\n");
+            std::string answer = interim +
+                                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
                                  "connection: keep-alive\r\n"
                                  "transfer-encoding: chunked\r\n\r\n"
                                  "2\r\nab\r\n0\r\n\r\n";
