Ignore listings of the store that are out of date

What happens: after two answers that history was dropped, two listings of a prefix are in flight. The one that arrives last may be the older one; it took back keys that the newer one, or a watch meanwhile, had brought, and they came back only with their next change.

Change: only the answer to the last listing counts, and a key with a later revision than the listing is not taken for removed.

Evidence: gateway_store/ignores_listings_that_are_out_of_date failed before in its first section and passes now.

--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -37,7 +37,8 @@
     std::map<std::string, store_revision> known_revisions;
     store_revision revision = 0;
     time_point request_time{}; ///< When the last listing or watch was sent.
-    std::uint64_t current_watch = 0; ///< Replies to earlier ones are ignored.
+    std::uint64_t current_watch = 0;   ///< Replies to earlier ones are ignored.
+    std::uint64_t current_listing = 0; ///< The same for listings.
     bool has_listed = false;
     bool failing = false;
     time_point failing_since{};
@@ -46,10 +47,17 @@
 
     void list()
     {
+        const std::uint64_t listing_id = ++current_listing;
         request_time = time.now();
-        source.list(prefix, list_timeout,
-                    [self = shared_from_this()](result<store_page> page)
-                    { self->on_list(std::move(page)); });
+        source.list(
+            prefix, list_timeout,
+            [self = shared_from_this(), listing_id](result<store_page> page)
+            {
+                if (listing_id == self->current_listing)
+                {
+                    self->on_list(std::move(page));
+                }
+            });
     }
 
     void watch_changes()
@@ -145,7 +153,9 @@
         std::vector<std::string> removed_keys;
         for (const auto& [key, last_revision] : known_revisions)
         {
-            if (listed_keys.count(key) == 0)
+            // A watch may have brought it while the listing was read.
+            const bool is_later = last_revision > page.revision;
+            if (listed_keys.count(key) == 0 && !is_later)
             {
                 removed_keys.push_back(key);
             }
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -9,6 +9,7 @@
 
 #include <rapidcheck.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -53,6 +54,32 @@
     std::shared_ptr<void> tick_timer;
 };
 
+/// Holds the calls of a mirror until the test answers them.
+struct held_reader final : prefix_reader
+{
+    void list(std::string /*prefix*/, duration /*timeout*/,
+              callback<store_page> done) override
+    {
+        listings.push_back(std::move(done));
+    }
+    void await_changes(std::string /*prefix*/, store_revision /*after*/,
+                       duration /*wait*/, callback<store_page> done) override
+    {
+        watches.push_back(std::move(done));
+    }
+    void answer_listing(std::size_t index, result<store_page> page)
+    {
+        listings.at(index)(std::move(page));
+    }
+    void answer_watch(std::size_t index, result<store_page> page)
+    {
+        watches.at(index)(std::move(page));
+    }
+
+    std::deque<callback<store_page>> listings;
+    std::deque<callback<store_page>> watches;
+};
+
 std::string target_entry()
 {
     return R"({"service":"maps","address":"10.0.0.1:80","zone":"z1",)"
@@ -165,6 +192,46 @@
     EXPECT(listener.recoveries == 1);
 }
 
+// Guards against a listing that arrives late and takes back what a later
+// listing or a watch has brought.
+Test(gateway_store, ignores_listings_that_are_out_of_date)
+{
+    boot_clock time;
+    net::event_loop loop(time);
+    held_reader reader;
+    map_listener listener;
+    store_mirror mirror(reader, loop.timers(), time, "a/", {}, listener);
+    mirror.start();
+    reader.answer_listing(0, store_page{{{"a/1", "old", 1, false}}, 1});
+    const auto history_dropped = [] { return fail(errc::stale, "dropped"); };
+    reader.answer_watch(0, history_dropped());
+    mirror.refresh();
+    section(
+        "two listings in flight",
+        [&]
+        {
+            reader.answer_watch(1, history_dropped());
+            EXPECT(reader.listings.size() == 3);
+            reader.answer_listing(2, store_page{{{"a/1", "new", 5, false},
+                                                 {"a/2", "added", 6, false}},
+                                                6});
+            reader.answer_listing(1, store_page{{{"a/1", "old", 1, false}}, 4});
+            EXPECT(listener.values["a/1"] == "new");
+            EXPECT(listener.values.count("a/2") == 1);
+        });
+    section(
+        "a watch that is answered while a listing is read",
+        [&]
+        {
+            reader.answer_watch(2, history_dropped());
+            mirror.refresh();
+            reader.answer_watch(3, store_page{{{"a/3", "later", 9, false}}, 9});
+            reader.answer_listing(3, store_page{{{"a/1", "new", 5, false}}, 8});
+            EXPECT(listener.values.count("a/2") == 0);
+            EXPECT(listener.values.count("a/3") == 1);
+        });
+}
+
 // Guards against a VM whose entry is missing while it runs, or still present
 // after it has left.
 Test(gateway_store, keeps_an_entry_under_a_lease)
