Replace watches of the store that are not confirmed in time

Cause: a lost answer looks like a quiet watch, which waits for 25 s. Only a failed renewal of the lease made the VM ask anew, and renewals are 1.3 s apart.

Change: a mirror knows when its state was last confirmed and replaces a watch that has not confirmed it within the time for a change to be in force less 0.6 s. To save calls, one VM keeps short watches and tells the others each confirmation with the revision of the last change; a VM that hears none keeps short watches itself. The same holds for targets, evacuations and VMs, and for readers of a relay. Replaced watches are cancelled. watch_broken is logged.

--- a/include/siskinflow/control/message_type.hpp
+++ b/include/siskinflow/control/message_type.hpp
@@ -37,6 +37,7 @@
     domain_state = 16,
     store_changes_request = 17,
     store_changes = 18,
+    store_confirmation = 19,
 };
 
 /// @brief Name of a message type in snake_case, "unknown" if undefined.
--- a/include/siskinflow/core/clock.hpp
+++ b/include/siskinflow/core/clock.hpp
@@ -68,4 +68,10 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// @brief Whole milliseconds, for log lines and messages.
+constexpr long long to_ms(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace siskinflow
--- a/include/siskinflow/gateway/gateway_settings.hpp
+++ b/include/siskinflow/gateway/gateway_settings.hpp
@@ -29,6 +29,9 @@
     std::size_t max_connections = 0;
     duration stop_grace{0};      ///< From SIGTERM to the forced exit.
     duration lookup_lifetime{0}; ///< Of a lookup answer.
+    /// Time within which a change must be in force on all VMs.
+    duration policy_limit{0}; ///< Of the operators' entries.
+    duration drain_limit{0};  ///< Of a target's registration.
     /// Age of the configuration up to which keys are accepted; no limit if
     /// empty.
     std::optional<duration> revocation_limit;
--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -201,6 +201,11 @@
     /// the VMs that accept callers and are heard.
     bool sums_up_domain(time_point now) const;
 
+    /// @brief Whether this VM asks the store often and tells the others when
+    /// it confirms that nothing has changed: the first by name of all VMs that
+    /// accept callers and are heard.
+    bool confirms_for_fleet(time_point now) const;
+
     /// @brief Whether this VM is one of the few of its failure domain that send
     /// the first requests to a new target; every VM chooses the same ones.
     bool introduces(std::string_view target) const;
--- a/include/siskinflow/gateway/relay_messages.hpp
+++ b/include/siskinflow/gateway/relay_messages.hpp
@@ -47,4 +47,23 @@
     }
 };
 
+/// @brief Tells the other VMs that the store has confirmed a prefix to this
+/// one. A VM that has missed a change notices it.
+struct store_confirmation
+{
+    static constexpr control::message_type type =
+        control::message_type::store_confirmation;
+
+    std::string prefix;
+    store_revision last_change = 0; ///< The store had no later change then.
+    std::uint32_t age_ms = 0;       ///< Time since the confirmation.
+    bool forwarded = false;         ///< Passed on inside the receiving domain.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(prefix, last_change, age_ms, forwarded);
+    }
+};
+
 } // namespace siskinflow::gateway
--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -46,9 +46,10 @@
 };
 
 /// @brief Reads the prefixes of a store. Each call ends with exactly one
-/// callback, never before the call has returned. A call fails with
-/// `errc::timeout` if the store can't be reached or does not answer, and with
-/// `errc::unavailable` if it refuses the call.
+/// callback, never before the call has returned; a watch that is replaced by a
+/// later one ends without. A call fails with `errc::timeout` if the store can't
+/// be reached or does not answer, and with `errc::unavailable` if it refuses
+/// the call.
 class prefix_reader
 {
 public:
@@ -62,7 +63,8 @@
     virtual void list(std::string prefix, duration timeout,
                       callback<store_page> done) = 0;
 
-    /// @brief Waits for changes of a prefix.
+    /// @brief Waits for changes of a prefix. A watch of the same prefix that is
+    /// still waiting is cancelled.
     /// @param after revision up to which the caller knows all changes
     /// @param wait longest time without a change; the page is empty then
     /// @param done `errc::stale` if the store no longer has the changes since
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -34,6 +34,10 @@
     /// @brief All keys of a listing have been reported.
     virtual void on_listed() = 0;
 
+    /// @brief A watch was given up, because its answer may have been lost.
+    /// @param unconfirmed time since the last confirmation
+    virtual void on_watch_replaced(duration /*unconfirmed*/) {}
+
     /// @brief A call failed after one that succeeded.
     virtual void on_unavailable(const error& reason) = 0;
 
@@ -42,6 +46,13 @@
     virtual void on_available(duration outage) = 0;
 };
 
+/// @brief Evidence that a VM knew all changes of a prefix at some time.
+struct mirror_confirmation
+{
+    store_revision last_change = 0; ///< No later change had been made.
+    time_point at{};
+};
+
 /// @brief How often a mirror calls the store.
 struct mirror_options
 {
@@ -52,11 +63,19 @@
     duration relayed_batch_delay{0};
     /// Maximum wait of one watch. The platform's store allows 30 s.
     duration max_watch_wait = std::chrono::seconds(25);
+    /// Time without a confirmation after which the watch is replaced: a watch
+    /// whose answer was lost can't be told from a quiet one. It bounds how long
+    /// a change can be missed.
+    duration max_unconfirmed_time = std::chrono::seconds(25);
 };
 
 /// @brief Lists a prefix once and then follows its changes by watches. After a
 /// failure it resumes from the last known revision; when the store has dropped
 /// that history, it lists again and reports the difference.
+///
+/// A mirror that others tell of their confirmations leaves its watch waiting
+/// for long. Without them, its watches are short enough to confirm by
+/// themselves that nothing has changed.
 class store_mirror
 {
 public:
@@ -83,6 +102,21 @@
     /// tells only with the next change.
     void catch_up();
 
+    /// @brief Makes the watches short, so that the other VMs can be told often
+    /// that nothing has changed.
+    void confirm_for_others(bool confirms);
+
+    /// @brief Called with each confirmation by the store itself, while this
+    /// mirror confirms for others.
+    void on_confirmation(std::function<void(const mirror_confirmation&)> call);
+
+    /// @brief Takes over the confirmation of another VM. If it knows a later
+    /// change than this mirror, a watch that has not told it is replaced.
+    void on_peer_confirmation(const mirror_confirmation& confirmation);
+
+    /// @brief Whether the state was confirmed within `max_unconfirmed_time`.
+    bool confirmed() const;
+
     /// @brief Whether a listing has been completed.
     bool listed() const;
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -11,6 +11,7 @@
 #include <siskinflow/store/lease_keeper.hpp>
 
 #include <algorithm>
+#include <map>
 #include <unistd.h>
 
 namespace siskinflow::gateway
@@ -30,11 +31,19 @@
 /// Time since the last call that the store answered up to which this VM passes
 /// changes on. A change must be in force on all VMs within 2.5 s.
 constexpr duration max_store_silence = std::chrono::seconds(2);
+/// Part of the time for a change to be in force that is left for reading and
+/// applying it after a lost watch has been replaced.
+constexpr duration change_fetch_time = std::chrono::milliseconds(600);
+/// Longest time without a confirmation of the VM entries. Silence of a VM is
+/// detected without the store.
+constexpr duration max_unconfirmed_vms = std::chrono::seconds(5);
 /// Time between two attempts to place waiting requests, for room that becomes
 /// free without an answer to this VM's own requests.
 constexpr duration placement_interval = std::chrono::milliseconds(25);
 /// Time between two updates of the region splits.
 constexpr duration split_update_interval = std::chrono::milliseconds(200);
+/// Time between two checks of which VM confirms the store's state for all.
+constexpr duration confirming_update_interval = std::chrono::milliseconds(200);
 /// Lifetime of this VM's entry in the store. A VM that died is detected by its
 /// silence much earlier.
 constexpr duration registration_ttl = std::chrono::seconds(8);
@@ -64,6 +73,7 @@
 {
     constexpr int watches_per_limit = 3;
     mirror_options out{operator_watch_delay, relayed_watch_delay};
+    out.max_unconfirmed_time = settings.policy_limit - change_fetch_time;
     if (settings.revocation_limit)
     {
         out.max_watch_wait = std::min(
@@ -72,6 +82,20 @@
     return out;
 }
 
+mirror_options target_options(const gateway_settings& settings)
+{
+    mirror_options out{target_watch_delay, relayed_watch_delay};
+    out.max_unconfirmed_time = settings.drain_limit - change_fetch_time;
+    return out;
+}
+
+mirror_options vm_options()
+{
+    mirror_options out{vm_watch_delay, relayed_watch_delay};
+    out.max_unconfirmed_time = max_unconfirmed_vms;
+    return out;
+}
+
 } // namespace
 
 struct gateway_node::impl
@@ -89,27 +113,36 @@
           recorded_operators(operators), recorded_registrations(registrations),
           recorded_vms(vms),
           shared_reads(loop_in, http_client, platform_in.store, incarnation,
-                       [this] { return state.peers.store_relay(state.now()); }),
+                       [this] { return usable_relay(); }),
           operator_mirror(operator_store(), loop_in.timers(), loop_in.time(),
                           platform_in.records.operator_prefix(),
                           operator_options(state.settings), recorded_operators),
           target_mirror(shared_reads, loop_in.timers(), loop_in.time(),
                         platform_in.records.target_prefix(),
-                        {target_watch_delay, relayed_watch_delay},
-                        recorded_registrations),
+                        target_options(state.settings), recorded_registrations),
           vm_mirror(shared_reads, loop_in.timers(), loop_in.time(), vm_prefix,
-                    {vm_watch_delay, relayed_watch_delay}, recorded_vms),
+                    vm_options(), recorded_vms),
           registration(platform_in.store, loop_in.timers(), loop_in.time(),
                        vm_prefix + state.settings.self.name,
                        to_json(state.settings.self), registration_ttl),
           peer_messages(state, incarnation, [this] { return ready(); }),
           relay(loop_in, incarnation, [this] { return passes_changes_on(); })
     {
-        relay_prefix(platform_in.records.operator_prefix(), recorded_operators,
+        share_prefix(platform_in.records.operator_prefix(), recorded_operators,
                      operator_mirror);
-        relay_prefix(platform_in.records.target_prefix(),
+        share_prefix(platform_in.records.target_prefix(),
                      recorded_registrations, target_mirror);
-        relay_prefix(vm_prefix, recorded_vms, vm_mirror);
+        share_prefix(vm_prefix, recorded_vms, vm_mirror);
+        peer_messages.on_confirmation(
+            [this](const std::string& prefix,
+                   const mirror_confirmation& confirmation)
+            {
+                const auto found = mirrors.find(prefix);
+                if (found != mirrors.end())
+                {
+                    found->second->on_peer_confirmation(confirmation);
+                }
+            });
     }
 
     net::event_loop& loop;
@@ -129,6 +162,7 @@
     store_mirror operator_mirror;
     store_mirror target_mirror;
     store_mirror vm_mirror;
+    std::map<std::string, store_mirror*> mirrors; ///< By prefix.
     lease_keeper registration;
     vm_lifecycle lifecycle;
     peer_exchange peer_messages;
@@ -139,7 +173,7 @@
     std::unique_ptr<net::http_server> metrics_page;
     std::vector<std::shared_ptr<void>> timers;
     std::function<void()> on_stopped;
-    time_point forced_stop_at{};
+    bool requests_cut = false;         ///< Near the end of a planned stop.
     time_point registration_lost_at{}; ///< When renewals began to fail.
 
     bool ready() const
@@ -158,13 +192,39 @@
         return shared_reads;
     }
 
-    /// Lets the other VMs of the failure domain read a prefix through this one.
-    void relay_prefix(std::string prefix, recording_listener& recorded,
+    /// Lets the other VMs of the failure domain read a prefix through this one,
+    /// and tells all VMs when the store confirms it.
+    void share_prefix(const std::string& prefix, recording_listener& recorded,
                       store_mirror& mirror)
     {
-        relay.add(std::move(prefix), recorded.log(),
-                  [&mirror] { mirror.catch_up(); });
+        mirrors[prefix] = &mirror;
+        relay.add(prefix, recorded.log(), [&mirror] { mirror.catch_up(); });
         recorded.on_recorded([this] { relay.on_recorded(); });
+        mirror.on_confirmation(
+            [this, prefix](const mirror_confirmation& confirmation)
+            { peer_messages.send_confirmation(prefix, confirmation); });
+    }
+
+    /// The relay, unless what it passes on has not been confirmed for too long.
+    std::optional<net::endpoint> usable_relay() const
+    {
+        const bool confirmed =
+            std::all_of(mirrors.begin(), mirrors.end(),
+                        [](const auto& entry)
+                        {
+                            const store_mirror& mirror = *entry.second;
+                            return !mirror.listed() || mirror.confirmed();
+                        });
+        return confirmed ? state.peers.store_relay(state.now()) : std::nullopt;
+    }
+
+    void update_confirming()
+    {
+        const bool confirms = state.peers.confirms_for_fleet(state.now());
+        for (const auto& [prefix, mirror] : mirrors)
+        {
+            mirror->confirm_for_others(confirms);
+        }
     }
 
     /// Whether this VM reads the store itself and knows the latest changes.
@@ -271,6 +331,8 @@
     peer_messages.start();
     timers.push_back(
         loop.every(split_update_interval, [this] { state.update_splits(); }));
+    timers.push_back(loop.every(confirming_update_interval,
+                                [this] { update_confirming(); }));
     timers.push_back(loop.every(placement_interval,
                                 [this]
                                 {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -25,6 +25,12 @@
 DEFINE_string(stop_grace, "6s",
               "Time from SIGTERM to the forced exit of the process");
 DEFINE_string(directory_lifetime, "1s", "Lifetime of a lookup answer");
+DEFINE_string(policy_limit, "2500ms",
+              "Time within which a change of the operators' entries must be in "
+              "force on all VMs (1s-1h)");
+DEFINE_string(drain_limit, "2500ms",
+              "Time within which a change of a target's registration must be "
+              "in force on all VMs (1s-1h)");
 DEFINE_string(revocation_limit, "",
               "Time without confirmation from the store after which requests "
               "with a key are refused; empty: no limit");
@@ -99,6 +105,19 @@
     out.regions[out.self.failure_domain] = out.self.region;
 }
 
+duration read_limit(flag_checker& check, std::string_view flag,
+                    const std::string& text)
+{
+    constexpr duration min_limit = std::chrono::seconds(1);
+    constexpr duration max_limit = std::chrono::hours(1);
+    const duration limit = check.duration_value(flag, text);
+    if (limit < min_limit || limit > max_limit)
+    {
+        check.add_fault(flag, "is not from 1s to 1h");
+    }
+    return limit;
+}
+
 void check_limits(flag_checker& check, gateway_settings& out)
 {
     out.max_connections =
@@ -106,6 +125,8 @@
     out.stop_grace = check.duration_value("stop_grace", FLAGS_stop_grace);
     out.lookup_lifetime =
         check.duration_value("directory_lifetime", FLAGS_directory_lifetime);
+    out.policy_limit = read_limit(check, "policy_limit", FLAGS_policy_limit);
+    out.drain_limit = read_limit(check, "drain_limit", FLAGS_drain_limit);
     if (!FLAGS_revocation_limit.empty())
     {
         out.revocation_limit =
@@ -139,6 +160,8 @@
                                                    "max_connections",
                                                    "stop_grace",
                                                    "directory_lifetime",
+                                                   "policy_limit",
+                                                   "drain_limit",
                                                    "revocation_limit",
                                                    "retry_ratio",
                                                    "retry_slack",
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -178,6 +178,34 @@
     }
 }
 
+void peer_exchange::send_confirmation(const std::string& prefix,
+                                      const mirror_confirmation& confirmation)
+{
+    const time_point now = state_.now();
+    store_confirmation message;
+    message.prefix = prefix;
+    message.last_change = confirmation.last_change;
+    message.age_ms = static_cast<std::uint32_t>(to_ms(now - confirmation.at));
+    const std::string encoded = control::encode(self_, message);
+    for (const net::endpoint& receiver :
+         state_.peers.domain_contacts(++confirmation_round_, now))
+    {
+        socket_->send(receiver, encoded);
+    }
+    send_to_domain(message);
+}
+
+void peer_exchange::send_to_domain(const store_confirmation& message)
+{
+    store_confirmation copy = message;
+    copy.forwarded = true;
+    const std::string encoded = control::encode(self_, copy);
+    for (const net::endpoint& receiver : state_.peers.domain_peers())
+    {
+        socket_->send(receiver, encoded);
+    }
+}
+
 // Receiving
 
 void peer_exchange::on_datagram(std::string_view payload)
@@ -200,6 +228,18 @@
         apply(std::move(message).value());
         return;
     }
+    if (envelope.value().type == control::message_type::store_confirmation)
+    {
+        auto message =
+            control::decode_payload<store_confirmation>(envelope.value());
+        if (!message)
+        {
+            drop(message.error(), payload.size());
+            return;
+        }
+        apply(std::move(message).value());
+        return;
+    }
     const auto message = control::decode_payload<peer_state>(envelope.value());
     if (!message)
     {
@@ -272,6 +312,21 @@
     }
 }
 
+void peer_exchange::apply(store_confirmation message)
+{
+    if (on_confirmation_)
+    {
+        on_confirmation_(
+            message.prefix,
+            {message.last_change,
+             state_.now() - std::chrono::milliseconds(message.age_ms)});
+    }
+    if (!message.forwarded)
+    {
+        send_to_domain(message);
+    }
+}
+
 void peer_exchange::apply_usages(const std::vector<organisation_usage>& usages,
                                  const report_source& source)
 {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -5,7 +5,9 @@
 #include "gateway_state.hpp"
 #include <siskinflow/control/codec.hpp>
 #include <siskinflow/core/ids.hpp>
+#include <siskinflow/gateway/relay_messages.hpp>
 #include <siskinflow/net/udp_socket.hpp>
+#include <siskinflow/store/store_mirror.hpp>
 
 #include <functional>
 #include <memory>
@@ -42,6 +44,19 @@
     /// it sums up its domain, the other domains are told too.
     void leave();
 
+    /// @brief Tells all other VMs of a confirmation of the store.
+    void send_confirmation(const std::string& prefix,
+                           const mirror_confirmation& confirmation);
+
+    /// @brief Called with each confirmation that another VM has told.
+    void
+    on_confirmation(std::function<void(const std::string& prefix,
+                                       const mirror_confirmation& confirmation)>
+                        call)
+    {
+        on_confirmation_ = std::move(call);
+    }
+
 private:
     /// Selects the organisations that a message reports.
     enum class selection
@@ -58,6 +73,8 @@
     void drop(const error& reason, std::size_t bytes);
     void apply(const peer_state& message, const incarnation_id& sender);
     void apply(domain_state message);
+    void apply(store_confirmation message);
+    void send_to_domain(const store_confirmation& message);
     void apply_usages(const std::vector<organisation_usage>& usages,
                       const report_source& source);
     std::vector<organisation_usage>
@@ -74,11 +91,14 @@
     gateway_state& state_;
     incarnation_id self_;
     std::function<bool()> ready_;
+    std::function<void(const std::string&, const mirror_confirmation&)>
+        on_confirmation_;
     std::unique_ptr<net::udp_socket> socket_;
     std::shared_ptr<void> timer_;
     time_point next_state_at_{};
     time_point next_domain_state_at_{};
-    std::size_t round_ = 0; ///< Chooses the VMs of other domains.
+    std::size_t round_ = 0;              ///< Chooses the VMs of other domains.
+    std::size_t confirmation_round_ = 0; ///< The same for confirmations.
     bool leaving_ = false;
     sent_reports sent_own_;
     sent_reports sent_domain_;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -344,6 +344,18 @@
     return serving_ && (first == nullptr || self_.name < first->record.name);
 }
 
+bool peer_table::confirms_for_fleet(time_point now) const
+{
+    return serving_ && std::none_of(peers_.begin(), peers_.end(),
+                                    [&](const auto& item)
+                                    {
+                                        const peer& entry = item.second;
+                                        return entry.serving &&
+                                               !silent(entry, now) &&
+                                               entry.record.name < self_.name;
+                                    });
+}
+
 bool peer_table::introduces(std::string_view target) const
 {
     const std::uint64_t seed = stable_hash(target);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -27,12 +27,6 @@
 
 std::string_view name(failure_reason value) noexcept;
 
-/// @brief Whole milliseconds of a duration, for log lines.
-inline long long to_ms(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 /// @brief Admits a request, places it, and retries attempts where that is safe.
 /// It stays alive in `gateway_state::in_progress` until it has answered.
 class request_flow final : public net::call_observer,
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -33,6 +33,15 @@
                          .count()}});
 }
 
+void logging_listener::on_watch_replaced(duration unconfirmed)
+{
+    state_.log.write(
+        event_id::watch_broken,
+        {{"watched", operation_},
+         {"reason",
+          "not confirmed for " + std::to_string(to_ms(unconfirmed)) + " ms"}});
+}
+
 // Operators
 
 operator_feed::operator_feed(gateway_state& state, const record_format& records)
--- a/src/gateway/state_feed.hpp
+++ b/src/gateway/state_feed.hpp
@@ -16,7 +16,8 @@
 /// @brief Prefix of the VM entries in the store.
 inline constexpr const char* vm_prefix = "siskinflow/vms/";
 
-/// @brief Logs when the store becomes unavailable or available to one mirror.
+/// @brief Logs when the store becomes unavailable or available to one mirror,
+/// and when the mirror replaces a watch.
 class logging_listener : public mirror_listener
 {
 public:
@@ -24,6 +25,7 @@
 
     void on_unavailable(const error& reason) override;
     void on_available(duration down) override;
+    void on_watch_replaced(duration unconfirmed) override;
     void on_listed() override {}
 
 protected:
--- a/src/store/change_log.cpp
+++ b/src/store/change_log.cpp
@@ -118,4 +118,9 @@
     next_.on_available(outage);
 }
 
+void recording_listener::on_watch_replaced(duration unconfirmed)
+{
+    next_.on_watch_replaced(unconfirmed);
+}
+
 } // namespace siskinflow
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -15,6 +15,10 @@
 /// while the end of a network partition should be noticed at once.
 constexpr duration max_retry_delay_refused = std::chrono::milliseconds(800);
 constexpr duration max_retry_delay_unreachable = std::chrono::milliseconds(200);
+/// Time allowed for the answer to a watch beyond its wait.
+constexpr duration watch_answer_time = std::chrono::milliseconds(400);
+/// Time after which a running watch should have told what another VM knows.
+constexpr duration watch_delivery_time = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -36,9 +40,17 @@
     mirror_listener* listener; ///< Null once the mirror is destroyed.
     std::map<std::string, store_revision> known_revisions;
     store_revision revision = 0;
+    /// The store and the VMs that asked it know no later change.
+    store_revision last_change = 0;
     time_point request_time{}; ///< When the last listing or watch was sent.
+    time_point confirmed_at{}; ///< By the store or by another VM.
+    time_point peer_confirmed_at{};
+    duration current_wait{0};          ///< Of the last watch.
+    bool watching = false;             ///< A watch is running.
     std::uint64_t current_watch = 0;   ///< Replies to earlier ones are ignored.
     std::uint64_t current_listing = 0; ///< The same for listings.
+    bool confirms_for_others = false;
+    std::function<void(const mirror_confirmation&)> on_confirmation;
     bool has_listed = false;
     bool failing = false;
     time_point failing_since{};
@@ -62,13 +74,71 @@
 
     void watch_changes()
     {
-        watch_changes_for(options.max_watch_wait);
+        watch_changes_for(next_wait());
+    }
+
+    /// Short enough that a lost answer, or one lost message to the others, is
+    /// noticed within `max_unconfirmed_time`.
+    duration next_wait() const
+    {
+        constexpr int confirmations_per_limit = 3;
+        const duration limit = options.max_unconfirmed_time;
+        if (confirms_for_others)
+        {
+            return std::min(options.max_watch_wait,
+                            limit / confirmations_per_limit);
+        }
+        const bool peers_confirm = time.now() - peer_confirmed_at < limit;
+        const duration own_wait =
+            std::max(limit - watch_answer_time, limit / 2);
+        return peers_confirm ? options.max_watch_wait
+                             : std::min(options.max_watch_wait, own_wait);
+    }
+
+    /// Schedules a check that the watch was not lost.
+    void check_watch_later(std::uint64_t watch_id)
+    {
+        const duration limit = std::min(options.max_unconfirmed_time,
+                                        current_wait + watch_answer_time);
+        const time_point due = std::max(confirmed_at, request_time) + limit;
+        timers.schedule(due,
+                        [weak = weak_from_this(), watch_id, limit]
+                        {
+                            const auto self = weak.lock();
+                            if (self != nullptr && self->listener != nullptr)
+                            {
+                                self->check_watch(watch_id, limit);
+                            }
+                        });
+    }
+
+    void check_watch(std::uint64_t watch_id, duration limit)
+    {
+        if (watch_id != current_watch || !watching)
+        {
+            return;
+        }
+        if (time.now() - std::max(confirmed_at, request_time) < limit)
+        {
+            check_watch_later(watch_id);
+            return;
+        }
+        replace_watch();
+    }
+
+    void replace_watch()
+    {
+        listener->on_watch_replaced(time.now() - confirmed_at);
+        watch_changes();
     }
 
     void watch_changes_for(duration wait)
     {
         const std::uint64_t watch_id = ++current_watch;
         request_time = time.now();
+        current_wait = wait;
+        watching = true;
+        check_watch_later(watch_id);
         source.await_changes(
             prefix, revision, wait,
             [self = shared_from_this(), watch_id](result<store_page> page)
@@ -94,6 +164,9 @@
         on_success();
         remove_missing(page.value());
         apply(page.value());
+        // Removals that the listing does not show were made before it.
+        last_change = std::max(last_change, page.value().revision);
+        confirm(request_time, page.value().relayed);
         has_listed = true;
         listener->on_confirmed(request_time, revision);
         listener->on_listed();
@@ -102,6 +175,7 @@
 
     void on_changes(result<store_page> page)
     {
+        watching = false;
         if (listener == nullptr)
         {
             return;
@@ -118,6 +192,10 @@
         }
         on_success();
         apply(page.value());
+        if (!page.value().relayed)
+        {
+            confirm(confirmed_time(page.value()), false);
+        }
         listener->on_confirmed(request_time, revision);
         if (page.value().entries.empty())
         {
@@ -142,6 +220,37 @@
                         });
     }
 
+    /// When the store knew no changes beyond those of a watch's page.
+    time_point confirmed_time(const store_page& page) const
+    {
+        const time_point wait_end = request_time + current_wait;
+        const bool waited = page.entries.empty() && time.now() >= wait_end;
+        return waited ? wait_end : request_time;
+    }
+
+    void confirm(time_point at, bool relayed)
+    {
+        confirmed_at = std::max(confirmed_at, at);
+        if (confirms_for_others && !relayed && on_confirmation)
+        {
+            on_confirmation({last_change, at});
+        }
+    }
+
+    void on_peer_confirmation(const mirror_confirmation& confirmation)
+    {
+        if (confirmation.last_change <= revision)
+        {
+            confirmed_at = std::max(confirmed_at, confirmation.at);
+            peer_confirmed_at = std::max(peer_confirmed_at, confirmation.at);
+            return;
+        }
+        if (watching && time.now() - request_time >= watch_delivery_time)
+        {
+            replace_watch();
+        }
+    }
+
     /// Reports keys that were removed while no watch was running.
     void remove_missing(const store_page& page)
     {
@@ -177,6 +286,7 @@
                 continue;
             }
             last_revision = entry.revision;
+            last_change = std::max(last_change, entry.revision);
             listener->on_change(entry);
             if (entry.removed)
             {
@@ -252,6 +362,36 @@
     }
 }
 
+void store_mirror::confirm_for_others(bool confirms)
+{
+    const bool begins = confirms && !impl_->confirms_for_others;
+    impl_->confirms_for_others = confirms;
+    if (begins && impl_->watching)
+    {
+        impl_->watch_changes();
+    }
+}
+
+void store_mirror::on_confirmation(
+    std::function<void(const mirror_confirmation&)> call)
+{
+    impl_->on_confirmation = std::move(call);
+}
+
+void store_mirror::on_peer_confirmation(const mirror_confirmation& confirmation)
+{
+    if (impl_->has_listed)
+    {
+        impl_->on_peer_confirmation(confirmation);
+    }
+}
+
+bool store_mirror::confirmed() const
+{
+    return impl_->time.now() - impl_->confirmed_at <=
+           impl_->options.max_unconfirmed_time;
+}
+
 bool store_mirror::listed() const
 {
     return impl_->has_listed;
--- a/standins/lib/kv_service.hpp
+++ b/standins/lib/kv_service.hpp
@@ -57,6 +57,12 @@
         return calls_;
     }
 
+    /// @brief Revision of the last change.
+    std::int64_t revision() const
+    {
+        return revision_;
+    }
+
     /// @brief Keys that begin with a prefix.
     std::size_t count(const std::string& prefix) const;
 
--- a/tests/process/gateway_faults_test.cpp
+++ b/tests/process/gateway_faults_test.cpp
@@ -96,3 +96,52 @@
     running->cancel();
     EXPECT(world.until([&] { return target.cancelled() == 1; }, bound));
 }
+
+// Guards against a change that a VM in touch with the store misses, because the
+// answer to its watch was lost and no other call failed (CONFIG, DRAIN).
+Test(gateway_faults, the_answer_to_a_watch_is_lost)
+{
+    /// Within the time in which a VM is taken to be in touch again, less the
+    /// time of the calls below.
+    constexpr std::chrono::milliseconds in_touch{3900};
+    gateway_world world(2);
+    auto& first = world.add_target("maps", named("m1"));
+    world.configure();
+    EXPECT(world.start_all());
+    const auto lose_watches = [&]
+    {
+        world.store().set_outage(standin::kv_outage::silent);
+        world.store().set_outage(standin::kv_outage::none);
+    };
+    section("the operators' entries: a removed prefix is refused",
+            [&]
+            {
+                world.run_for(1s);
+                lose_watches();
+                world.configure({{"prefix", "/plans/"}});
+                world.run_for(in_touch);
+                for (std::size_t vm = 0; vm < 2; ++vm)
+                {
+                    EXPECT(world.call(vm).response.status == 404);
+                }
+            });
+    section("the entries of targets: a target that drains gets nothing",
+            [&]
+            {
+                auto& second = world.add_target("maps", named("m2"));
+                world.run_for(3s);
+                lose_watches();
+                world.register_target("m1", "draining");
+                world.run_for(in_touch);
+                const std::size_t before = first.runs().size();
+                const std::size_t before_second = second.runs().size();
+                caller_request look;
+                look.path = "/plans/1";
+                for (std::size_t vm = 0; vm < 2; ++vm)
+                {
+                    EXPECT(world.call(vm, look).response.status == 200);
+                }
+                EXPECT(first.runs().size() == before);
+                EXPECT(second.runs().size() == before_second + 2);
+            });
+}
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 using namespace siskinflow;
 using namespace std::chrono_literals;
@@ -45,6 +46,12 @@
         return condition();
     }
 
+    void run_for(duration length)
+    {
+        const time_point end = time.now() + length;
+        run_until([&] { return time.now() >= end; });
+    }
+
     boot_clock time;
     net::event_loop loop{time};
     standin::kv_service service;
@@ -192,6 +199,97 @@
     EXPECT(listener.recoveries == 1);
 }
 
+// Guards against a change that a mirror never sees, because the store has lost
+// the answer to its watch and nothing else fails.
+Test(gateway_store, replaces_a_watch_whose_answer_was_lost)
+{
+    constexpr duration limit = 1200ms;
+    store_fixture fixture;
+    fixture.service.put("a/1", "old");
+    map_listener listener;
+    mirror_options options{20ms};
+    options.max_unconfirmed_time = limit;
+    store_mirror mirror(fixture.client, fixture.loop.timers(), fixture.time,
+                        "a/", options, listener);
+    mirror.start();
+    EXPECT(fixture.run_until([&] { return listener.listings == 1; }));
+    const auto lose_watch = [&]
+    {
+        fixture.service.set_outage(standin::kv_outage::silent);
+        fixture.service.set_outage(standin::kv_outage::none);
+    };
+    const auto seen_within = [&](const std::string& value, duration time)
+    {
+        const time_point end = fixture.time.now() + time;
+        fixture.run_until(
+            [&] {
+                return listener.values["a/1"] == value ||
+                       fixture.time.now() >= end;
+            });
+        return listener.values["a/1"] == value;
+    };
+    section("no other VM is heard: within the limit",
+            [&]
+            {
+                fixture.run_for(100ms);
+                lose_watch();
+                fixture.service.put("a/1", "second");
+                EXPECT(seen_within("second", limit + 200ms));
+            });
+    section("another VM knows a later change: soon",
+            [&]
+            {
+                fixture.run_for(400ms);
+                lose_watch();
+                fixture.service.put("a/1", "third");
+                const auto confirming = fixture.loop.every(
+                    50ms,
+                    [&]
+                    {
+                        mirror.on_peer_confirmation(
+                            {fixture.service.revision(), fixture.time.now()});
+                    });
+                EXPECT(seen_within("third", limit / 2));
+            });
+    section("confirmations of other VMs keep a quiet watch waiting",
+            [&]
+            {
+                EXPECT(mirror.confirmed());
+                const auto confirm = [&]
+                {
+                    mirror.on_peer_confirmation(
+                        {fixture.service.revision(), fixture.time.now()});
+                };
+                confirm();
+                fixture.run_for(limit); // The short watch ends.
+                const auto confirming = fixture.loop.every(100ms, confirm);
+                confirm();
+                fixture.run_for(limit);
+                const auto before = fixture.service.calls().at("/kv-watch");
+                fixture.run_for(3 * limit);
+                EXPECT(fixture.service.calls().at("/kv-watch") == before);
+            });
+    section("a change that was lost meanwhile is found when they end",
+            [&]
+            {
+                lose_watch();
+                fixture.service.put("a/1", "fourth");
+                EXPECT(seen_within("fourth", limit + 200ms));
+            });
+    section("a VM that confirms for others tells each confirmation",
+            [&]
+            {
+                std::vector<mirror_confirmation> told;
+                mirror.on_confirmation([&](const mirror_confirmation& value)
+                                       { told.push_back(value); });
+                mirror.confirm_for_others(true);
+                fixture.run_for(3 * limit);
+                EXPECT(told.size() >= 5);
+                EXPECT(told.back().last_change == fixture.service.revision());
+                EXPECT(fixture.time.now() - told.back().at <= limit);
+            });
+}
+
 // Guards against a listing that arrives late and takes back what a later
 // listing or a watch has brought.
 Test(gateway_store, ignores_listings_that_are_out_of_date)
