Refuse what a stopping VM can't end, and wait for answers to be sent

Cause: a stopping VM took every request until its forced exit, so a VM that is kept busy always cut what was in progress. And a request counted as ended when its answer was handed to the HTTP server, so that an idle VM ended while callers on slow links were still receiving.

Change: planned_stop decides which requests a stopping VM takes; the others are refused as not run.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -115,6 +115,10 @@
     /// @brief The port that is listened on.
     std::uint16_t port() const;
 
+    /// @brief Number of requests whose answer has not been written to the
+    /// socket as a whole; those with a disconnected caller do not count.
+    std::size_t open_exchanges() const;
+
     /// @brief Counts since the start.
     http_server_stats stats() const;
 
--- a/include/siskinflow/telemetry/event_id.hpp
+++ b/include/siskinflow/telemetry/event_id.hpp
@@ -71,6 +71,7 @@
     settings_reloaded = 1210,
     rate_share_changed = 1211,
     policy_row_not_read = 1212,
+    answers_cut = 1213,
 };
 
 /// @brief One row of the table, described in `docs/events.md`.
--- a/src/entry/entry_node_life.cpp
+++ b/src/entry/entry_node_life.cpp
@@ -57,8 +57,11 @@
     {
         return;
     }
-    const bool idle = path->in_progress() == 0 || time.now() >= drain_deadline;
-    if (idle && lifecycle.apply(lifecycle_event::idle))
+    // Answers may still be on their way to callers on slow links.
+    const bool idle =
+        path->in_progress() == 0 && http_server->open_exchanges() == 0;
+    const bool ends = idle || time.now() >= drain_deadline;
+    if (ends && lifecycle.apply(lifecycle_event::idle))
     {
         hand_over();
     }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -49,9 +49,6 @@
 constexpr duration registration_ttl = std::chrono::seconds(8);
 /// Callers may use a lookup answer for three of its lifetimes.
 constexpr int lookup_expiry_factor = 3;
-/// The node stops this long before the grace time ends, even with requests in
-/// progress.
-constexpr duration stop_margin = std::chrono::milliseconds(700);
 constexpr duration idle_check_interval = std::chrono::milliseconds(20);
 /// Lines of one event in a burst and per second: enough for each failed request
 /// of a normal day, few enough to cost under 1% of a small VM.
@@ -245,7 +242,9 @@
     void on_lookup(const net::exchange_ptr& exchange);
     void on_metrics(const net::exchange_ptr& exchange);
     void stop();
+    void cut_requests();
     void finish_when_idle();
+    void finish(bool idle);
 };
 
 result<void> gateway_node::impl::listen()
@@ -395,14 +394,13 @@
 
 void gateway_node::impl::stop()
 {
-    if (forced_stop_at != time_point{})
+    if (state.stop)
     {
         return;
     }
-    forced_stop_at = state.now() + state.settings.stop_grace - stop_margin;
     const bool was_ready = ready();
+    state.stop.emplace(state.now(), state.settings.stop_grace);
     lifecycle.apply(lifecycle_event::stop);
-    state.leaving = true;
     if (was_ready)
     {
         log.write(event_id::readiness_changed,
@@ -419,24 +417,50 @@
         loop.every(idle_check_interval, [this] { finish_when_idle(); }));
 }
 
+/// Callers get an answer while there is still time to send it.
+void gateway_node::impl::cut_requests()
+{
+    requests_cut = true;
+    const auto in_progress = state.in_progress;
+    for (const auto& request : in_progress)
+    {
+        request->cut_by_stop();
+    }
+}
+
 void gateway_node::impl::finish_when_idle()
 {
-    const bool idle = state.in_progress.empty();
-    const bool draining = lifecycle.state() != lifecycle_state::leaving;
-    if (!(idle && draining) && state.now() < forced_stop_at)
+    const time_point now = state.now();
+    if (now >= state.stop->cut_at() && !requests_cut)
     {
-        return;
+        cut_requests();
     }
-    if (on_stopped == nullptr)
+    const bool idle =
+        state.in_progress.empty() && requests->open_exchanges() == 0;
+    const bool lookups_expired = lifecycle.state() != lifecycle_state::leaving;
+    if ((idle && lookups_expired) || now >= state.stop->exit_at())
+    {
+        finish(idle);
+    }
+}
+
+void gateway_node::impl::finish(bool idle)
+{
+    const auto callback = std::exchange(on_stopped, nullptr);
+    if (callback == nullptr)
     {
         return;
     }
     lifecycle.apply(lifecycle_event::idle);
     log.flush();
+    if (!idle)
+    {
+        log.write(event_id::answers_cut,
+                  {{"count", requests->open_exchanges()}});
+    }
     log.write(event_id::stopped,
               {{"reason", idle ? "idle" : "grace time expired"},
                {"uptime_s", to_seconds(state.now() - state.started_at)}});
-    const auto callback = std::exchange(on_stopped, nullptr);
     callback();
 }
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include <siskinflow/gateway/key_acceptance.hpp>
 #include <siskinflow/gateway/message_codec.hpp>
 #include <siskinflow/gateway/peers.hpp>
+#include <siskinflow/gateway/planned_stop.hpp>
 #include <siskinflow/gateway/policy.hpp>
 #include <siskinflow/gateway/rate_share.hpp>
 #include <siskinflow/gateway/region_split.hpp>
@@ -22,6 +23,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -58,8 +60,8 @@
     /// Organisations with a rate limit, by their number in peer messages.
     std::unordered_map<std::uint32_t, std::string> organisation_by_number;
     std::unordered_set<std::shared_ptr<request_flow>> in_progress;
-    bool leaving = false;
-    bool had_requests = false; ///< Whether a request has been admitted.
+    std::optional<planned_stop> stop; ///< Empty until a stop is requested.
+    bool had_requests = false;        ///< Whether a request has been admitted.
     time_point started_at;
 
     time_point now() const
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -60,7 +60,7 @@
         return;
     }
     const bool target_alive = target_->answered_at() > sent_;
-    if (target_alive || state_.leaving || !choose().choice ||
+    if (target_alive || state_.stop || !choose().choice ||
         !may_retry(attempt_result::no_answer))
     {
         start_attempt_timer();
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -35,13 +35,7 @@
         return;
     }
     const auto self = shared_from_this();
-    if (call_ != nullptr)
-    {
-        const bool sent = call_->sent();
-        call_->cancel();
-        release_target(sent ? attempt_result::no_answer
-                            : attempt_result::unreachable);
-    }
+    give_up_call(attempt_result::no_answer);
     if (may_have_run_)
     {
         fail_with(failure_reason::timed_out);
@@ -53,6 +47,36 @@
     state_.place_waiting(service_);
 }
 
+void request_flow::cut_by_stop()
+{
+    if (ended_)
+    {
+        return;
+    }
+    const auto self = shared_from_this();
+    give_up_call(attempt_result::abandoned);
+    if (may_have_run_)
+    {
+        fail_with(failure_reason::cut_by_stop);
+    }
+    else
+    {
+        refuse(refusal_reason::leaving, min_retry_after);
+    }
+}
+
+/// @param result of an attempt that has reached its target
+void request_flow::give_up_call(attempt_result result)
+{
+    if (call_ == nullptr)
+    {
+        return;
+    }
+    const bool sent = call_->sent();
+    call_->cancel();
+    release_target(sent ? result : attempt_result::unreachable);
+}
+
 void request_flow::on_caller_gone()
 {
     if (ended_)
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -15,6 +15,8 @@
 /// The longest wait for room is the route's objective divided by this.
 constexpr int wait_divisor = 2;
 constexpr duration no_policy_retry_after = std::chrono::milliseconds(500);
+/// Another VM can take the request at once.
+constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
 
 bool contains(const std::vector<std::string>& list, std::string_view value)
 {
@@ -46,6 +48,10 @@
     if (const auto refused = admit())
     {
         std::optional<duration> retry_after;
+        if (*refused == refusal_reason::leaving)
+        {
+            retry_after = leaving_retry_after;
+        }
         if (*refused == refusal_reason::no_configuration ||
             *refused == refusal_reason::not_fresh)
         {
@@ -101,6 +107,10 @@
     const duration caller_timeout =
         caller_fields_.timeout.value_or(max_request_time);
     deadline_ = arrived_ + std::min(caller_timeout, route_->timeout);
+    if (state_.stop && !state_.stop->accepts(arrived_, deadline_))
+    {
+        return refusal_reason::leaving;
+    }
     service_ = state_.next_service(*route_);
     if (route_->affinity && !caller_fields_.object.empty())
     {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -42,6 +42,9 @@
     /// @return whether it was placed
     bool place_waiting();
 
+    /// @brief Answers the request because the process is about to end.
+    void cut_by_stop();
+
     void on_head(int status, const net::http_headers& headers,
                  std::optional<std::size_t> content_length) override;
     void on_body(std::string_view part) override;
@@ -78,6 +81,7 @@
 
     // Ends
     void on_deadline();
+    void give_up_call(attempt_result result);
     void on_caller_gone();
     void deliver();
     void refuse(refusal_reason reason, std::optional<duration> retry_after);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -678,6 +678,11 @@
     return impl_->listening_port;
 }
 
+std::size_t http_server::open_exchanges() const
+{
+    return impl_->in_progress.size();
+}
+
 http_server_stats http_server::stats() const
 {
     return impl_->counts;
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -75,6 +75,8 @@
 constexpr std::string_view policy_row_fields[] = {"revision", "table", "item",
                                                   "reason", "handling"};
 
+constexpr std::string_view answers_cut_fields[] = {"count"};
+
 constexpr event_info table[] = {
     {event_id::started, "started", log_level::info, started_fields},
     {event_id::setting_refused, "setting_refused", log_level::error,
@@ -148,6 +150,8 @@
      share_fields},
     {event_id::policy_row_not_read, "policy_row_not_read", log_level::warning,
      policy_row_fields},
+    {event_id::answers_cut, "answers_cut", log_level::warning,
+     answers_cut_fields},
 };
 
 } // namespace
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -1,5 +1,7 @@
 #include "platform_target.hpp"
 
+#include <algorithm>
+
 namespace standin
 {
 
@@ -73,8 +75,9 @@
 void platform_target::finish(const net::exchange_ptr& exchange)
 {
     --running_;
-    const std::string body =
+    std::string body =
         "answer of " + options_.id + " to " + exchange->request().path;
+    body.resize(std::max(body.size(), options_.min_answer_bytes), ' ');
     net::http_headers headers{
         {"siskinflow-request-id", std::string(exchange->request().headers.value(
                                       "siskinflow-request-id"))},
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -22,6 +22,7 @@
     siskinflow::duration work = std::chrono::milliseconds(20);
     unsigned slots = 6;
     double cut_part = 0; ///< Fraction of answers truncated after the run.
+    std::size_t min_answer_bytes = 0; ///< Shorter answers are filled up.
 };
 
 /// @brief Runs requests, checks their headers and counts runs by request id.
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -1,5 +1,6 @@
 #include "test_sections.hpp"
 #include <siskinflow/gateway/placement.hpp>
+#include <siskinflow/gateway/planned_stop.hpp>
 #include <siskinflow/gateway/policy.hpp>
 #include <siskinflow/gateway/rate_share.hpp>
 #include <siskinflow/gateway/region_split.hpp>
@@ -417,3 +418,38 @@
                 }
             });
 }
+
+// Guards against a stopping VM that takes requests which it will have to cut,
+// or turns away those that it could serve.
+Test(gateway_planned_stop, takes_what_can_end_in_time)
+{
+    const time_point requested{100s};
+    const planned_stop stop(requested, 6s);
+    section("short requests until shortly before the requests are cut",
+            [&]
+            {
+                EXPECT(stop.accepts(requested + 4s, requested + 5s));
+                EXPECT(!stop.accepts(requested + 5s, requested + 6s));
+            });
+    section("long requests while callers still use old lookups",
+            [&]
+            {
+                EXPECT(stop.accepts(requested + 2s, requested + 12s));
+                EXPECT(!stop.accepts(requested + 3s, requested + 12s));
+            });
+    section("requests are cut in the last sixth, with time to send the answers",
+            [&]
+            {
+                EXPECT(stop.cut_at() > requested + 5s);
+                EXPECT(stop.exit_at() - stop.cut_at() >= 400ms);
+                EXPECT(stop.exit_at() < requested + 6s);
+            });
+    section("a short grace time keeps the order",
+            [&]
+            {
+                const planned_stop brief(requested, 600ms);
+                EXPECT(requested < brief.cut_at());
+                EXPECT(brief.cut_at() < brief.exit_at());
+                EXPECT(brief.exit_at() < requested + 600ms);
+            });
+}
