Confirm the store's state half as often for other VMs

A lost message makes a VM ask the store itself, so two confirmations within the time of one suffice.

--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -77,11 +77,12 @@
         watch_changes_for(next_wait());
     }
 
-    /// Short enough that a lost answer, or one lost message to the others, is
-    /// noticed within `max_unconfirmed_time`.
+    /// Short enough that the others are told within their
+    /// `max_unconfirmed_time`, and that this mirror confirms its state itself
+    /// if nobody tells it.
     duration next_wait() const
     {
-        constexpr int confirmations_per_limit = 3;
+        constexpr int confirmations_per_limit = 2;
         const duration limit = options.max_unconfirmed_time;
         if (confirms_for_others)
         {
