Refuse answers without the id of their request

Cause: an answer with another id ended the attempt as broken, one without an id did not; a rejection proves that the order has not run. The connection went back to the pool with the real answer still due.

Change: an answer whose id is not the request's own ends the attempt as broken and closes the connection.

Evidence: gateway_faults/a_rejection_without_an_id fails with the gateway before (an order ran at both targets) and passes now.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -134,6 +134,27 @@
     status_ = status;
     headers_ = headers;
     answer_fields_ = state_.protocol.read_answer(headers_, status);
+    if (answer_fields_.id != caller_fields_.id)
+    {
+        refuse_foreign_answer();
+    }
+}
+
+/// Bytes that belong to no request or to another one say nothing about this
+/// request, and its own answer may still follow on the connection, which must
+/// not serve another request.
+void request_flow::refuse_foreign_answer()
+{
+    call_->cancel();
+    state_.loop.post(
+        [weak = weak_from_this(), call = call_]
+        {
+            const auto self = weak.lock();
+            if (self != nullptr && self->call_ == call)
+            {
+                self->on_end(net::call_outcome::broken);
+            }
+        });
 }
 
 void request_flow::on_body(std::string_view part)
@@ -163,12 +184,6 @@
 attempt_result request_flow::classify_answer() const
 {
     constexpr int misdirected_status = 421;
-    const bool other_request =
-        !answer_fields_.id.empty() && answer_fields_.id != caller_fields_.id;
-    if (other_request)
-    {
-        return attempt_result::broken;
-    }
     if (status_ == misdirected_status)
     {
         return attempt_result::misdirected;
@@ -180,9 +195,8 @@
     const bool success = status_ >= 200 && status_ < 300;
     if (success)
     {
-        const bool verified = answer_fields_.signed_body &&
-                              !answer_fields_.content_encoded &&
-                              !answer_fields_.id.empty();
+        const bool verified =
+            answer_fields_.signed_body && !answer_fields_.content_encoded;
         return verified ? attempt_result::answered : attempt_result::broken;
     }
     return status_ >= 500 || status_means_not_run(status_)
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -72,6 +72,7 @@
     net::client_request request_to(const target_choice& choice) const;
     void start_attempt_timer();
     void on_attempt_timer();
+    void refuse_foreign_answer();
     attempt_result classify_outcome(net::call_outcome outcome) const;
     attempt_result classify_answer() const;
     void update_estimates(attempt_result result);
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -197,17 +197,29 @@
     const std::uint16_t port = links_ == link_kind::proxied
                                    ? target_links_.at(id)->port()
                                    : targets_.at(id)->port();
-    store_->put("servers/" + id,
-                json{{"service", services_.at(id)},
-                     {"address", loopback(port)},
-                     {"zone", "zone-0"},
-                     {"version", "v1"},
-                     {"max-concurrency", targets_.at(id)->slots()},
-                     {"state", state},
-                     {"warmup-left", "0ms"},
-                     {"sequence", 1},
-                     {"born", 1000}}
-                    .dump());
+    write_entry(id, {services_.at(id), port, targets_.at(id)->slots(), state});
+}
+
+void gateway_world::add_entry(const std::string& id, const std::string& service,
+                              std::uint16_t port)
+{
+    constexpr unsigned slots = 6;
+    write_entry(id, {service, port, slots, "ready"});
+}
+
+void gateway_world::write_entry(const std::string& id,
+                                const target_entry& entry)
+{
+    store_->put("servers/" + id, json{{"service", entry.service},
+                                      {"address", loopback(entry.port)},
+                                      {"zone", "zone-0"},
+                                      {"version", "v1"},
+                                      {"max-concurrency", entry.slots},
+                                      {"state", entry.state},
+                                      {"warmup-left", "0ms"},
+                                      {"sequence", 1},
+                                      {"born", 1000}}
+                                     .dump());
 }
 
 std::shared_ptr<net::http_call>
--- a/tests/process/gateway_faults_test.cpp
+++ b/tests/process/gateway_faults_test.cpp
@@ -1,10 +1,144 @@
 #include "gateway_world.hpp"
 #include "test_sections.hpp"
 
+#include <arpa/inet.h>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
 using namespace siskinflow;
 using namespace std::chrono_literals;
 using test_sections::section;
 
+namespace
+{
+
+/// A target on plain sockets. Before its answer to every second request on a
+/// connection it sends a rejection that belongs to no request.
+class interjecting_target
+{
+public:
+    interjecting_target()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+        ::listen(listener_, SOMAXCONN);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
+                      &length);
+        port_ = ntohs(address.sin_port);
+        acceptor_ = std::jthread([this] { accept_all(); });
+    }
+
+    ~interjecting_target()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        for (const int connection : connections_)
+        {
+            ::shutdown(connection, SHUT_RDWR);
+        }
+        workers_.clear();
+        ::close(listener_);
+    }
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+    int runs(const std::string& id) const
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = runs_.find(id);
+        return found == runs_.end() ? 0 : found->second;
+    }
+
+    int interjections() const
+    {
+        return interjections_;
+    }
+
+private:
+    void accept_all()
+    {
+        for (;;)
+        {
+            const int connection = ::accept(listener_, nullptr, nullptr);
+            if (connection < 0)
+            {
+                return;
+            }
+            connections_.push_back(connection);
+            workers_.emplace_back([this, connection] { serve(connection); });
+        }
+    }
+
+    void serve(int connection)
+    {
+        std::string received;
+        char buffer[4096];
+        int requests = 0;
+        for (;;)
+        {
+            const auto count = ::recv(connection, buffer, sizeof(buffer), 0);
+            if (count <= 0)
+            {
+                break;
+            }
+            received.append(buffer, static_cast<std::size_t>(count));
+            const auto head_end = received.find("\r\n\r\n");
+            if (head_end == std::string::npos)
+            {
+                continue;
+            }
+            answer(connection, received.substr(0, head_end), ++requests);
+            received.erase(0, head_end + 4);
+        }
+        ::close(connection);
+    }
+
+    void answer(int connection, const std::string& head, int request_number)
+    {
+        const std::string field = "siskinflow-request-id: ";
+        const auto at = head.find(field) + field.size();
+        const std::string id = head.substr(at, head.find("\r\n", at) - at);
+        {
+            const std::lock_guard lock(mutex_);
+            ++runs_[id];
+        }
+        std::string bytes;
+        if (request_number % 2 == 0)
+        {
+            ++interjections_;
+            bytes = "HTTP/1.1 503 Service Unavailable\r\n"
+                    "siskinflow-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+        }
+        bytes += "HTTP/1.1 200 OK\r\nsiskinflow-request-id: " + id +
+                 "\r\nsiskinflow-response-signature: signed\r\n"
+                 "content-length: 2\r\n\r\nok";
+        (void)::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    int listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    std::uint16_t port_ = 0;
+    mutable std::mutex mutex_;
+    std::map<std::string, int> runs_;
+    std::atomic<int> interjections_{0};
+    std::vector<int> connections_;
+    std::vector<std::jthread> workers_;
+    std::jthread acceptor_;
+};
+
+} // namespace
+
 // Guards against a request that is given up at a target that is slow but
 // answers others (LOST), and against waiting on one that is silent.
 Test(gateway_faults, an_overdue_attempt)
@@ -145,3 +279,42 @@
                 EXPECT(second.runs().size() == before_second + 2);
             });
 }
+
+// Guards against a rejection that belongs to no request and is taken for the
+// answer to an order, which then runs at a second target or is reported as not
+// run (TWICE, REFUSED), and against a connection with an answer still due that
+// serves another request.
+Test(gateway_faults, a_rejection_without_an_id)
+{
+    constexpr int order_count = 40;
+    interjecting_target first;
+    gateway_world world(1);
+    world.configure();
+    EXPECT(world.start_all());
+    world.add_entry("raw", "orders", first.port());
+    auto& second = world.add_target("orders", named("o2"));
+    world.run_for(1500ms);
+    int failed = 0;
+    for (int i = 0; i < order_count; ++i)
+    {
+        caller_request order;
+        order.path = "/orders/1";
+        order.method = "POST";
+        order.object = std::to_string(i % 8);
+        order.id = "order-" + std::to_string(i);
+        const auto got = world.call(0, order);
+        const auto at_second = second.runs().find(order.id);
+        const int runs =
+            first.runs(order.id) + (at_second == second.runs().end() ? 0 : 1);
+        EXPECT(runs <= 1);
+        EXPECT(runs == 0 || got.response.status == 200 ||
+               got.response.status == 502);
+        failed += got.response.status == 502 ? 1 : 0;
+    }
+    section("each order that met such bytes failed, and no other",
+            [&]
+            {
+                EXPECT(first.interjections() > 3);
+                EXPECT(failed == first.interjections());
+            });
+}
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -75,6 +75,10 @@
     standin::platform_target& add_target(const std::string& service,
                                          standin::platform_target_options);
 
+    /// @brief Registers a target that the test itself runs on a port.
+    void add_entry(const std::string& id, const std::string& service,
+                   std::uint16_t port);
+
     /// @brief Writes a target's entry again.
     void register_target(const std::string& id, const std::string& state);
 
@@ -162,6 +166,15 @@
     }
 
 private:
+    struct target_entry
+    {
+        std::string service;
+        std::uint16_t port = 0;
+        unsigned slots = 0;
+        std::string state;
+    };
+    void write_entry(const std::string& id, const target_entry& entry);
+
     siskinflow::boot_clock time_;
     link_kind links_;
     processes::http http_;
