Send targets no requests that they do not want

Change: the adapter decodes both into answer_fields; malformed values are counted and ignored. target_wish holds them by incarnation of the target, also while its registration is missing. target_directory::in_service and target::admits decide; requests that were placed and not sent are placed again. VMs of a failure domain tell each other that a target leaves. After a pause a target is treated as cold for 1 to 2 s. If all targets that a request may use want nothing, it is refused at once with the time until the first does.

--- a/include/siskinflow/gateway/message_codec.hpp
+++ b/include/siskinflow/gateway/message_codec.hpp
@@ -42,6 +42,10 @@
     bool content_encoded = false; ///< The body was re-encoded on the way.
     std::optional<load_report> load;
     std::optional<duration> warm_up_left;
+    bool leaving = false; ///< The target stops soon.
+    /// Time for which the target wants no requests from this VM.
+    std::optional<duration> pause;
+    unsigned malformed_fields = 0; ///< Fields that were ignored.
 };
 
 /// @brief Parameters of a caller's lookup.
--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -80,6 +80,23 @@
     }
 };
 
+/// @brief Tells the VMs of the failure domain that a target is leaving.
+struct target_leaving
+{
+    static constexpr control::message_type type =
+        control::message_type::target_leaving;
+
+    std::string target;
+    std::int64_t started_at_ms = 0; ///< Of the incarnation that leaves.
+    std::string vm;                 ///< That got the target's answer.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(target, started_at_ms, vm);
+    }
+};
+
 /// @brief State of a failure domain that one of its VMs sends to one VM of each
 /// other domain, and that this VM passes on to the VMs of its own domain.
 struct domain_state
--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -69,6 +69,12 @@
     /// rest is used only if no preferred target admits requests.
     choice_outcome choose(const choice_request& request, time_point now);
 
+    /// @brief When the first of the targets that a request may use wants
+    /// requests again, those already tried included.
+    /// @return nothing if one of them wants requests now, or if there is none
+    std::optional<time_point> wanted_again_at(const choice_request& request,
+                                              time_point now) const;
+
 private:
     struct ranked_target
     {
@@ -78,6 +84,7 @@
     };
 
     double expected_objects(std::string_view service) const;
+    bool usable(const target& entry, const choice_request& request) const;
     std::vector<ranked_target> eligible_targets(const choice_request& request);
     void sort_by_preference(std::vector<ranked_target>& ranked_targets,
                             const choice_request& request);
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -32,6 +32,7 @@
     broken,      ///< The connection or the answer broke.
     no_answer,   ///< No answer within the time limit.
     abandoned,   ///< The caller left; not counted as a failure.
+    withdrawn,   ///< Not sent, because the target no longer wants requests.
 };
 
 std::string_view name(attempt_result value) noexcept;
@@ -44,6 +45,20 @@
     unsigned slots = 0;
 };
 
+/// @brief What a target has said about the requests that it wants. It holds
+/// for one incarnation, also while its registration is missing or says
+/// otherwise.
+struct target_wish
+{
+    bool leaving = false;      ///< No requests any more.
+    time_point paused_until{}; ///< No requests before.
+
+    bool allows_requests(time_point now) const
+    {
+        return !leaving && now >= paused_until;
+    }
+};
+
 /// @brief One target with this VM's view of its state.
 class target
 {
@@ -113,9 +128,21 @@
         return probe_in_flight_;
     }
 
-    /// @brief Whether a request may be sent now. A cold target gets requests
-    /// within its rate, an ejected one a single request after its ejection
-    /// time.
+    /// @brief Which requests the target wants.
+    const target_wish& wish() const
+    {
+        return wish_;
+    }
+
+    /// @brief Takes over what the target has said. A time that is still in
+    /// force is not shortened. After a pause the target is treated as cold for
+    /// a while, so that requests return in steps.
+    /// @param return_time time of the return, from the end of the pause
+    void on_wish(const target_wish& wish, duration return_time);
+
+    /// @brief Whether a request may be sent now. A target that wants none gets
+    /// none, a cold one requests within its rate, an ejected one a single
+    /// request after its ejection time.
     bool admits(time_point now) const;
 
     /// @brief Records a request that was sent.
@@ -158,6 +185,7 @@
     duration ejection_time_{0};
     time_point ejected_until_{};
     bool probe_in_flight_ = false;
+    target_wish wish_;
 };
 
 using target_ptr = std::shared_ptr<target>;
@@ -220,9 +248,16 @@
     /// @return whether the target or its incarnation is new
     bool put(target_record record, time_point now);
 
-    /// @brief Removes a registration.
+    /// @brief Removes a registration. What the target has said is kept, in case
+    /// the same incarnation registers again.
     void remove(const std::string& id);
 
+    /// @brief Takes over what an incarnation of a target has said, also if it
+    /// is not registered.
+    /// @param return_time time in which requests return after a pause
+    void on_wish(const std::string& id, std::int64_t started_at_ms,
+                 const target_wish& wish, duration return_time);
+
     /// @brief Sets the failure domains that are evacuated.
     void set_evacuated(std::set<std::string> failure_domains);
 
@@ -237,7 +272,7 @@
     const std::vector<target_ptr>& of_service(const std::string& name) const;
 
     /// @brief Whether new requests may go to a target, apart from its load:
-    /// registered, not draining, its failure domain not evacuated.
+    /// registered, not draining or leaving, its failure domain not evacuated.
     bool in_service(const target& entry) const;
 
     /// @brief Distance of a target from this VM.
@@ -275,6 +310,15 @@
     }
 
 private:
+    /// What an incarnation said that is not registered.
+    struct kept_wish
+    {
+        std::int64_t started_at_ms = 0;
+        target_wish wish;
+        duration return_time{0};
+    };
+
+    void keep_wish(const std::string& id, const kept_wish& kept);
     void remove_from_domain(const target_record& record);
 
     vm_location vm_location_;
@@ -287,6 +331,7 @@
     std::unordered_map<std::string, exchange_size> exchange_sizes_;
     std::unordered_map<std::string, double> average_peer_load_;
     std::set<std::string> evacuated_domains_;
+    std::unordered_map<std::string, kept_wish> kept_wishes_; ///< By target id.
 };
 
 } // namespace siskinflow::gateway
--- a/include/siskinflow/telemetry/event_id.hpp
+++ b/include/siskinflow/telemetry/event_id.hpp
@@ -72,6 +72,8 @@
     rate_share_changed = 1211,
     policy_row_not_read = 1212,
     answers_cut = 1213,
+    target_withdrawn = 1214,
+    target_wanted_again = 1215,
 };
 
 /// @brief One row of the table, described in `docs/events.md`.
--- a/include/siskinflow/telemetry/metric_id.hpp
+++ b/include/siskinflow/telemetry/metric_id.hpp
@@ -57,6 +57,9 @@
     site_map_hash,
     site_map_load_failures,
     policy_row_problems,
+    target_withdrawals,
+    withdrawn_targets,
+    malformed_answer_fields,
 };
 
 /// @brief One row of the table, described in `docs/metrics.md`.
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -130,6 +130,8 @@
         share_prefix(platform_in.records.target_prefix(),
                      recorded_registrations, target_mirror);
         share_prefix(vm_prefix, recorded_vms, vm_mirror);
+        state.on_target_leaving = [this](const target_record& record)
+        { peer_messages.send_leaving(record); };
         peer_messages.on_confirmation(
             [this](const std::string& prefix,
                    const mirror_confirmation& confirmation)
@@ -241,6 +243,7 @@
     void on_readiness(const net::exchange_ptr& exchange) const;
     void on_lookup(const net::exchange_ptr& exchange);
     void on_metrics(const net::exchange_ptr& exchange);
+    void set_withdrawn_targets();
     void stop();
     void cut_requests();
     void finish_when_idle();
@@ -383,8 +386,25 @@
         platform.protocol.lookup_answer(vms, state.settings.lookup_lifetime));
 }
 
+void gateway_node::impl::set_withdrawn_targets()
+{
+    double leaving = 0;
+    double paused = 0;
+    state.targets.for_each(
+        [&](const target& entry)
+        {
+            const bool is_leaving = entry.wish().leaving;
+            const bool wants_none = !entry.wish().allows_requests(state.now());
+            leaving += is_leaving ? 1 : 0;
+            paused += wants_none && !is_leaving ? 1 : 0;
+        });
+    metric_set.gauge(metric_id::withdrawn_targets, {"leaving"}).set(leaving);
+    metric_set.gauge(metric_id::withdrawn_targets, {"pause"}).set(paused);
+}
+
 void gateway_node::impl::on_metrics(const net::exchange_ptr& exchange)
 {
+    set_withdrawn_targets();
     metric_set.counter(metric_id::log_lines_suppressed)
         .raise_to(log.suppressed() + dropped_log_lines);
     exchange->respond({200,
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -20,6 +20,9 @@
 constexpr duration start_time = std::chrono::seconds(10);
 /// Change of a share from which it is logged.
 constexpr double min_logged_change = 0.1;
+/// Time in which requests return to a target after a pause that it asked for.
+/// It differs between VMs by up to as much again.
+constexpr duration min_return_time = std::chrono::seconds(1);
 /// Failed placements after which a pass over the waiting requests ends.
 constexpr int max_failed_placements = 6;
 
@@ -265,13 +268,64 @@
         now());
 }
 
+void gateway_state::on_target_wish(const target_ptr& entry,
+                                   const target_wish& wish,
+                                   std::string_view told_by)
+{
+    const target_record& record = entry->record();
+    const bool leaves = wish.leaving && !entry->wish().leaving;
+    const bool pauses = wish.paused_until > entry->wish().paused_until;
+    if (!leaves && !pauses)
+    {
+        return;
+    }
+    const std::uint64_t seed = stable_hash(record.id);
+    const auto spread = static_cast<std::int64_t>(
+        stable_hash(settings.self.name, seed) %
+        static_cast<std::uint64_t>(min_return_time.count()));
+    targets.on_wish(record.id, record.started_at_ms, wish,
+                    min_return_time + duration(spread));
+    limit_if_cold(*entry);
+    const std::string_view reason = leaves ? "leaving" : "pause";
+    metric_set.counter(metric_id::target_withdrawals, {reason}).add();
+    log.write(event_id::target_withdrawn,
+              {{"target", record.id},
+               {"service", record.service},
+               {"reason", reason},
+               {"for_ms", pauses ? to_ms(wish.paused_until - now()) : 0},
+               {"told_by", told_by}});
+    const auto requests = in_progress;
+    for (const auto& request : requests)
+    {
+        request->withdraw_unsent(*entry);
+    }
+    if (pauses)
+    {
+        loop.after(wish.paused_until - now(),
+                   [this, entry] { on_pause_end(entry); });
+    }
+}
+
+void gateway_state::on_pause_end(const target_ptr& entry)
+{
+    if (!entry->wish().allows_requests(now()))
+    {
+        return;
+    }
+    log.write(
+        event_id::target_wanted_again,
+        {{"target", entry->record().id}, {"service", entry->record().service}});
+    place_waiting(entry->record().service);
+}
+
 region_load gateway_state::load_of(const std::string& service) const
 {
     region_load out;
     const double average_peer_load = targets.average_peer_load(service);
     for (const target_ptr& entry : targets.of_service(service))
     {
-        if (!targets.in_service(*entry) || entry->ejected(now()))
+        if (!targets.in_service(*entry) || entry->ejected(now()) ||
+            !entry->wish().allows_requests(now()))
         {
             continue;
         }
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -21,6 +21,7 @@
 #include <siskinflow/telemetry/log.hpp>
 #include <siskinflow/telemetry/metrics.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -119,6 +120,15 @@
     /// @brief Sets the rate that this VM may send to a target, if it is cold.
     void limit_if_cold(target& entry);
 
+    /// @brief Applies what a target has said about the requests that it wants.
+    /// Requests that were placed on it and not sent are placed again.
+    /// @param told_by request id of the answer, or name of the VM that told it
+    void on_target_wish(const target_ptr& entry, const target_wish& wish,
+                        std::string_view told_by);
+
+    /// @brief Called when an answer has told that a target is leaving.
+    std::function<void(const target_record&)> on_target_leaving;
+
     /// @brief Decides which requests of a service go to other regions.
     region_split& split(const std::string& service);
 
@@ -126,6 +136,7 @@
     void update_splits();
 
 private:
+    void on_pause_end(const target_ptr& entry);
     void limit_cold(target& entry, const std::vector<std::string>& vms);
     region_load load_of(const std::string& service) const;
     double local_caller_fraction() const;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -206,6 +206,17 @@
     }
 }
 
+void peer_exchange::send_leaving(const target_record& record)
+{
+    const target_leaving message{record.id, record.started_at_ms,
+                                 state_.settings.self.name};
+    const std::string encoded = control::encode(self_, message);
+    for (const net::endpoint& receiver : state_.peers.domain_peers())
+    {
+        socket_->send(receiver, encoded);
+    }
+}
+
 // Receiving
 
 void peer_exchange::on_datagram(std::string_view payload)
@@ -217,36 +228,34 @@
         drop(envelope.error(), payload.size());
         return;
     }
-    if (envelope.value().type == control::message_type::domain_state)
-    {
-        auto message = control::decode_payload<domain_state>(envelope.value());
-        if (!message)
-        {
-            drop(message.error(), payload.size());
-            return;
-        }
-        apply(std::move(message).value());
-        return;
-    }
-    if (envelope.value().type == control::message_type::store_confirmation)
+    switch (envelope.value().type)
     {
-        auto message =
-            control::decode_payload<store_confirmation>(envelope.value());
-        if (!message)
-        {
-            drop(message.error(), payload.size());
-            return;
-        }
-        apply(std::move(message).value());
-        return;
+    case control::message_type::domain_state:
+        decode_and_apply<domain_state>(envelope.value(), payload.size());
+        break;
+    case control::message_type::store_confirmation:
+        decode_and_apply<store_confirmation>(envelope.value(), payload.size());
+        break;
+    case control::message_type::target_leaving:
+        decode_and_apply<target_leaving>(envelope.value(), payload.size());
+        break;
+    default:
+        decode_and_apply<peer_state>(envelope.value(), payload.size());
+        break;
     }
-    const auto message = control::decode_payload<peer_state>(envelope.value());
+}
+
+template <class Message>
+void peer_exchange::decode_and_apply(const control::envelope& envelope,
+                                     std::size_t bytes)
+{
+    auto message = control::decode_payload<Message>(envelope);
     if (!message)
     {
-        drop(message.error(), payload.size());
+        drop(message.error(), bytes);
         return;
     }
-    apply(message.value(), envelope.value().sender);
+    apply(std::move(message).value(), envelope.sender);
 }
 
 void peer_exchange::drop(const error& reason, std::size_t bytes)
@@ -282,7 +291,8 @@
     }
 }
 
-void peer_exchange::apply(domain_state message)
+void peer_exchange::apply(domain_state message,
+                          const incarnation_id& /*sender*/)
 {
     const time_point now = state_.now();
     if (message.failure_domain == state_.settings.self.failure_domain)
@@ -312,7 +322,8 @@
     }
 }
 
-void peer_exchange::apply(store_confirmation message)
+void peer_exchange::apply(const store_confirmation& message,
+                          const incarnation_id& /*sender*/)
 {
     if (on_confirmation_)
     {
@@ -327,6 +338,23 @@
     }
 }
 
+void peer_exchange::apply(const target_leaving& message,
+                          const incarnation_id& /*sender*/)
+{
+    target_wish wish;
+    wish.leaving = true;
+    const target_ptr known = state_.targets.find(message.target);
+    const bool same_incarnation =
+        known != nullptr &&
+        known->record().started_at_ms == message.started_at_ms;
+    if (same_incarnation)
+    {
+        state_.on_target_wish(known, wish, message.vm);
+        return;
+    }
+    state_.targets.on_wish(message.target, message.started_at_ms, wish, {});
+}
+
 void peer_exchange::apply_usages(const std::vector<organisation_usage>& usages,
                                  const report_source& source)
 {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -48,6 +48,9 @@
     void send_confirmation(const std::string& prefix,
                            const mirror_confirmation& confirmation);
 
+    /// @brief Tells the VMs of the failure domain that a target is leaving.
+    void send_leaving(const target_record& record);
+
     /// @brief Called with each confirmation that another VM has told.
     void
     on_confirmation(std::function<void(const std::string& prefix,
@@ -70,10 +73,13 @@
     void on_timer();
     bool announces_empty_domain() const;
     void on_datagram(std::string_view payload);
+    template <class Message>
+    void decode_and_apply(const control::envelope& envelope, std::size_t bytes);
     void drop(const error& reason, std::size_t bytes);
     void apply(const peer_state& message, const incarnation_id& sender);
-    void apply(domain_state message);
-    void apply(store_confirmation message);
+    void apply(domain_state message, const incarnation_id& sender);
+    void apply(const store_confirmation& message, const incarnation_id& sender);
+    void apply(const target_leaving& message, const incarnation_id& sender);
     void send_to_domain(const store_confirmation& message);
     void apply_usages(const std::vector<organisation_usage>& usages,
                       const report_source& source);
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -10,12 +10,16 @@
 namespace
 {
 
+/// Another target uses the address.
+constexpr int misdirected_status = 421;
+
 /// Whether the result proves that the target did not run the request.
 bool certainly_not_run(attempt_result result)
 {
     return result == attempt_result::unreachable ||
            result == attempt_result::rejected ||
-           result == attempt_result::misdirected;
+           result == attempt_result::misdirected ||
+           result == attempt_result::withdrawn;
 }
 
 /// Whether a status tells the caller that its request has not run. Such an
@@ -137,7 +141,46 @@
     if (answer_fields_.id != caller_fields_.id)
     {
         refuse_foreign_answer();
+        return;
+    }
+    if (status_ != misdirected_status)
+    {
+        apply_wish();
+    }
+}
+
+void request_flow::apply_wish()
+{
+    if (answer_fields_.malformed_fields > 0)
+    {
+        state_.metric_set.counter(metric_id::malformed_answer_fields)
+            .add(answer_fields_.malformed_fields);
+    }
+    target_wish wish;
+    wish.leaving = answer_fields_.leaving;
+    if (answer_fields_.pause)
+    {
+        wish.paused_until = state_.now() + *answer_fields_.pause;
     }
+    const bool first_told = wish.leaving && !target_->wish().leaving;
+    state_.on_target_wish(target_, wish, caller_fields_.id);
+    if (first_told && state_.on_target_leaving)
+    {
+        state_.on_target_leaving(target_->record());
+    }
+}
+
+void request_flow::withdraw_unsent(const target& unwanted)
+{
+    if (ended_ || call_ == nullptr || target_.get() != &unwanted ||
+        call_->sent())
+    {
+        return;
+    }
+    const auto self = shared_from_this();
+    call_->cancel();
+    release_target(attempt_result::withdrawn);
+    place();
 }
 
 /// Bytes that belong to no request or to another one say nothing about this
@@ -183,7 +226,6 @@
 
 attempt_result request_flow::classify_answer() const
 {
-    constexpr int misdirected_status = 421;
     if (status_ == misdirected_status)
     {
         return attempt_result::misdirected;
@@ -316,8 +358,7 @@
     }
     if (!may_have_run_)
     {
-        refuse(refusal_reason::target_refused,
-               state_.queue_of(service_).expected_wait({}, state_.now()));
+        refuse(refusal_reason::target_refused, expected_wait({}));
         return;
     }
     switch (result)
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -184,7 +184,7 @@
            contains(organisation_->allowed_regions, region);
 }
 
-choice_outcome request_flow::choose()
+choice_request request_flow::choice_parameters() const
 {
     choice_request request;
     request.service = service_;
@@ -195,7 +195,25 @@
     request.prefer_other_regions = prefer_other_regions_;
     request.work = state_.work(*route_, service_).current();
     request.remaining = remaining();
-    return state_.chooser.choose(request, state_.now());
+    return request;
+}
+
+choice_outcome request_flow::choose()
+{
+    return state_.chooser.choose(choice_parameters(), state_.now());
+}
+
+/// Time until room is expected, at the earliest when a target that the request
+/// may use wants requests again.
+duration request_flow::expected_wait(waiting_rank rank) const
+{
+    const time_point now = state_.now();
+    const duration in_queue =
+        state_.queue_of(service_).expected_wait(rank, now);
+    const auto wanted_again =
+        state_.chooser.wanted_again_at(choice_parameters(), now);
+    return wanted_again ? std::max<duration>(in_queue, *wanted_again - now)
+                        : in_queue;
 }
 
 void request_flow::place()
@@ -220,11 +238,10 @@
 
 void request_flow::wait_or_refuse(choice_failure failure)
 {
-    wait_queue& queue = state_.queue_of(service_);
     const waiting_rank rank{organisation_ == nullptr ? route_->priority
                                                      : organisation_->priority,
                             route_->priority};
-    const duration expected = queue.expected_wait(rank, state_.now());
+    const duration expected = expected_wait(rank);
     if (failure == choice_failure::too_late || !may_wait(expected))
     {
         if (may_have_run_)
@@ -275,8 +292,7 @@
         fail_with(failure_reason::target_failed);
         return;
     }
-    refuse(refusal_reason::deadline_exceeded_in_queue,
-           state_.queue_of(service_).expected_wait({}, state_.now()));
+    refuse(refusal_reason::deadline_exceeded_in_queue, expected_wait({}));
 }
 
 bool request_flow::place_waiting()
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -42,6 +42,10 @@
     /// @return whether it was placed
     bool place_waiting();
 
+    /// @brief Places the request again if it was placed on a target and has not
+    /// been sent.
+    void withdraw_unsent(const target& unwanted);
+
     /// @brief Answers the request because the process is about to end.
     void cut_by_stop();
 
@@ -60,6 +64,8 @@
     // Placement
     void place();
     void wait_or_refuse(choice_failure failure);
+    choice_request choice_parameters() const;
+    duration expected_wait(waiting_rank rank) const;
     bool may_wait(duration expected) const;
     void on_wait_limit();
     void stop_waiting();
@@ -73,6 +79,7 @@
     void start_attempt_timer();
     void on_attempt_timer();
     void refuse_foreign_answer();
+    void apply_wish();
     attempt_result classify_outcome(net::call_outcome outcome) const;
     attempt_result classify_answer() const;
     void update_estimates(attempt_result result);
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -45,6 +45,35 @@
 {
 }
 
+bool target_chooser::usable(const target& entry,
+                            const choice_request& request) const
+{
+    return targets_.in_service(entry) &&
+           request.region_allowed(entry.record().region);
+}
+
+std::optional<time_point>
+target_chooser::wanted_again_at(const choice_request& request,
+                                time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const target_ptr& entry :
+         targets_.of_service(std::string(request.service)))
+    {
+        if (!usable(*entry, request))
+        {
+            continue;
+        }
+        const time_point paused_until = entry->wish().paused_until;
+        if (paused_until <= now)
+        {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(paused_until), paused_until);
+    }
+    return earliest;
+}
+
 std::vector<target_chooser::ranked_target>
 target_chooser::eligible_targets(const choice_request& request)
 {
@@ -57,8 +86,7 @@
         const bool tried =
             std::find(request.excluded.begin(), request.excluded.end(),
                       record.id) != request.excluded.end();
-        if (tried || !targets_.in_service(*entry) ||
-            !request.region_allowed(record.region))
+        if (tried || !usable(*entry, request))
         {
             continue;
         }
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -31,6 +31,8 @@
 constexpr double min_slowness = 0.5;
 constexpr double max_slowness = 8;
 constexpr double slowness_weight = 0.1;
+/// Targets that are not registered and whose wishes are kept.
+constexpr std::size_t max_kept_wishes = 10000;
 /// Burst of requests that one VM may send to a cold target.
 constexpr double cold_burst = 1;
 /// Time after which a target is assumed to have dropped an object.
@@ -40,9 +42,9 @@
 /// Objects recorded for one service.
 constexpr std::size_t max_objects = 20000;
 
-constexpr std::array<std::string_view, 8> result_names = {
-    "answered",    "failed", "rejected",  "misdirected",
-    "unreachable", "broken", "no_answer", "abandoned"};
+constexpr std::array<std::string_view, 9> result_names = {
+    "answered", "failed",    "rejected",  "misdirected", "unreachable",
+    "broken",   "no_answer", "abandoned", "withdrawn"};
 
 } // namespace
 
@@ -73,8 +75,23 @@
            average_peer_load * (1 - report_weight);
 }
 
+void target::on_wish(const target_wish& wish, duration return_time)
+{
+    wish_.leaving = wish_.leaving || wish.leaving;
+    if (wish.paused_until <= wish_.paused_until)
+    {
+        return;
+    }
+    wish_.paused_until = wish.paused_until;
+    cold_until_ = std::max(cold_until_, wish.paused_until + return_time);
+}
+
 bool target::admits(time_point now) const
 {
+    if (!wish_.allows_requests(now))
+    {
+        return false;
+    }
     if (ejected(now) || (ejection_time_ > duration::zero() && probe_in_flight_))
     {
         return false;
@@ -123,6 +140,7 @@
         on_failure(true, now);
         break;
     case attempt_result::abandoned:
+    case attempt_result::withdrawn:
         break;
     }
 }
@@ -261,6 +279,12 @@
     }
     auto added = std::make_shared<target>(record);
     added->update(record, now);
+    const auto kept = kept_wishes_.find(record.id);
+    if (kept != kept_wishes_.end() &&
+        kept->second.started_at_ms == record.started_at_ms)
+    {
+        added->on_wish(kept->second.wish, kept->second.return_time);
+    }
     by_id_[record.id] = added;
     ++targets_per_domain_[record.service][record.failure_domain];
     by_service_[record.service].push_back(std::move(added));
@@ -281,6 +305,43 @@
     by_id_.erase(found);
 }
 
+void target_directory::on_wish(const std::string& id,
+                               std::int64_t started_at_ms,
+                               const target_wish& wish, duration return_time)
+{
+    const target_ptr registered = find(id);
+    if (registered != nullptr &&
+        registered->record().started_at_ms == started_at_ms)
+    {
+        registered->on_wish(wish, return_time);
+    }
+    keep_wish(id, {started_at_ms, wish, return_time});
+}
+
+void target_directory::keep_wish(const std::string& id, const kept_wish& kept)
+{
+    if (kept_wishes_.size() >= max_kept_wishes)
+    {
+        kept_wishes_.clear();
+    }
+    kept_wish& entry = kept_wishes_[id];
+    if (entry.started_at_ms > kept.started_at_ms)
+    {
+        return; // Said by an earlier incarnation.
+    }
+    if (entry.started_at_ms < kept.started_at_ms)
+    {
+        entry = kept;
+        return;
+    }
+    entry.wish.leaving = entry.wish.leaving || kept.wish.leaving;
+    if (kept.wish.paused_until > entry.wish.paused_until)
+    {
+        entry.wish.paused_until = kept.wish.paused_until;
+        entry.return_time = kept.return_time;
+    }
+}
+
 void target_directory::remove_from_domain(const target_record& record)
 {
     auto& domain_targets = targets_per_domain_[record.service];
@@ -324,7 +385,7 @@
 
 bool target_directory::in_service(const target& entry) const
 {
-    return !entry.record().draining &&
+    return !entry.record().draining && !entry.wish().leaving &&
            evacuated_domains_.count(entry.record().failure_domain) == 0;
 }
 
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -76,6 +76,9 @@
                                                   "reason", "handling"};
 
 constexpr std::string_view answers_cut_fields[] = {"count"};
+constexpr std::string_view target_withdrawn_fields[] = {
+    "target", "service", "reason", "for_ms", "told_by"};
+constexpr std::string_view target_wanted_again_fields[] = {"target", "service"};
 
 constexpr event_info table[] = {
     {event_id::started, "started", log_level::info, started_fields},
@@ -152,6 +155,10 @@
      policy_row_fields},
     {event_id::answers_cut, "answers_cut", log_level::warning,
      answers_cut_fields},
+    {event_id::target_withdrawn, "target_withdrawn", log_level::info,
+     target_withdrawn_fields},
+    {event_id::target_wanted_again, "target_wanted_again", log_level::info,
+     target_wanted_again_fields},
 };
 
 } // namespace
--- a/src/telemetry/metric_id.cpp
+++ b/src/telemetry/metric_id.cpp
@@ -107,6 +107,14 @@
     {policy_row_problems, "siskinflow_policy_row_problems_total", counter,
      "rows", handling_label,
      "Rows of policies that could not be read as written."},
+    {target_withdrawals, "siskinflow_target_withdrawals_total", counter,
+     "targets", reason_label,
+     "Targets that asked for no more requests, for good or for a time."},
+    {withdrawn_targets, "siskinflow_withdrawn_targets", gauge, "targets",
+     reason_label, "Targets that want no requests now."},
+    {malformed_answer_fields, "siskinflow_malformed_answer_fields_total",
+     counter, "fields", no_labels,
+     "Fields of targets' answers that were ignored because of their value."},
 };
 
 } // namespace
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -44,6 +44,19 @@
     return out;
 }
 
+net::http_headers
+platform_target::answer_headers(const net::exchange_ptr& exchange) const
+{
+    net::http_headers out{
+        {"siskinflow-request-id", std::string(exchange->request().headers.value(
+                                      "siskinflow-request-id"))}};
+    if (leaving_)
+    {
+        out.add("server-leaving", "1");
+    }
+    return out;
+}
+
 void platform_target::handle(const net::exchange_ptr& exchange)
 {
     const net::http_headers& headers = exchange->request().headers;
@@ -53,12 +66,16 @@
         exchange->respond({421, {{"siskinflow-request-id", id}}, {}});
         return;
     }
-    if (running_ >= options_.slots)
+    ++arrivals_;
+    if (running_ >= options_.slots || !retry_after_.empty())
     {
-        exchange->respond(
-            {503,
-             {{"siskinflow-request-id", id}, {"siskinflow-not-executed", "1"}},
-             {}});
+        net::http_headers rejection = answer_headers(exchange);
+        rejection.add("siskinflow-not-executed", "1");
+        if (!retry_after_.empty())
+        {
+            rejection.add("retry-after", retry_after_);
+        }
+        exchange->respond({503, std::move(rejection), {}});
         return;
     }
     const bool has_valid_headers =
@@ -78,12 +95,15 @@
     std::string body =
         "answer of " + options_.id + " to " + exchange->request().path;
     body.resize(std::max(body.size(), options_.min_answer_bytes), ' ');
-    net::http_headers headers{
-        {"siskinflow-request-id", std::string(exchange->request().headers.value(
-                                      "siskinflow-request-id"))},
-        {"siskinflow-response-signature", "signed"},
-        {"siskinflow-server-load",
-         std::to_string(running_) + ",0," + std::to_string(options_.slots)}};
+    net::http_headers headers = answer_headers(exchange);
+    headers.add("siskinflow-response-signature", "signed");
+    headers.add("siskinflow-server-load", std::to_string(running_) + ",0," +
+                                              std::to_string(options_.slots));
+    if (failing_)
+    {
+        exchange->respond({500, std::move(headers), {}});
+        return;
+    }
     if (should_truncate_next())
     {
         exchange->start(200, headers, body.size());
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -74,6 +74,31 @@
         options_.work = work;
     }
 
+    /// @brief Makes all answers say that the target is leaving, or not.
+    void set_leaving(bool leaving)
+    {
+        leaving_ = leaving;
+    }
+
+    /// @brief Makes the target turn requests away with this Retry-After value,
+    /// or take them if it is empty.
+    void set_retry_after(std::string value)
+    {
+        retry_after_ = std::move(value);
+    }
+
+    /// @brief Makes the target answer with a failure after each run, or not.
+    void set_failing(bool failing)
+    {
+        failing_ = failing;
+    }
+
+    /// @brief Requests that have arrived, those turned away included.
+    std::uint64_t arrivals() const
+    {
+        return arrivals_;
+    }
+
     void set_cut_part(double part)
     {
         options_.cut_part = part;
@@ -85,6 +110,8 @@
 
     void handle(const siskinflow::net::exchange_ptr& exchange);
     void finish(const siskinflow::net::exchange_ptr& exchange);
+    siskinflow::net::http_headers
+    answer_headers(const siskinflow::net::exchange_ptr& exchange) const;
     bool should_truncate_next();
 
     siskinflow::net::event_loop& loop_;
@@ -95,6 +122,10 @@
     std::uint64_t cancelled_ = 0;
     unsigned running_ = 0;
     double truncation_credit_ = 0;
+    bool leaving_ = false;
+    bool failing_ = false;
+    std::string retry_after_;
+    std::uint64_t arrivals_ = 0;
 };
 
 } // namespace standin
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -192,12 +192,13 @@
 }
 
 void gateway_world::register_target(const std::string& id,
-                                    const std::string& state)
+                                    const std::string& state, std::int64_t born)
 {
     const std::uint16_t port = links_ == link_kind::proxied
                                    ? target_links_.at(id)->port()
                                    : targets_.at(id)->port();
-    write_entry(id, {services_.at(id), port, targets_.at(id)->slots(), state});
+    write_entry(
+        id, {services_.at(id), port, targets_.at(id)->slots(), state, born});
 }
 
 void gateway_world::add_entry(const std::string& id, const std::string& service,
@@ -218,7 +219,7 @@
                                       {"state", entry.state},
                                       {"warmup-left", "0ms"},
                                       {"sequence", 1},
-                                      {"born", 1000}}
+                                      {"born", entry.born}}
                                      .dump());
 }
 
--- /dev/null
+++ b/tests/process/gateway_withdrawal_test.cpp
@@ -0,0 +1,155 @@
+#include "gateway_world.hpp"
+#include "test_sections.hpp"
+
+using namespace siskinflow;
+using namespace std::chrono_literals;
+using test_sections::section;
+
+namespace
+{
+
+/// Sends requests for several objects to VMs in turn.
+/// @return how many were answered with 200
+int served(gateway_world& world, std::size_t vms, int count)
+{
+    int out = 0;
+    for (int i = 0; i < count; ++i)
+    {
+        caller_request look;
+        look.object = std::to_string(i);
+        const auto got = world.call(static_cast<std::size_t>(i) % vms, look);
+        out += got.response.status == 200 ? 1 : 0;
+    }
+    return out;
+}
+
+} // namespace
+
+// Guards against requests to a target that has said in an answer that it is
+// leaving, while the store is away and its entry says that it serves (DRAIN).
+Test(gateway_withdrawal, a_target_says_that_it_leaves)
+{
+    // Two VMs in each of two failure domains.
+    constexpr std::size_t vms = 4;
+    gateway_world world(vms);
+    std::vector<standin::platform_target*> targets;
+    for (const char* id : {"m1", "m2", "m3"})
+    {
+        targets.push_back(&world.add_target("maps", named(id)));
+    }
+    world.configure();
+    EXPECT(world.start_all());
+    EXPECT(world.until([&] { return world.lookup(0).size() == vms; }));
+    world.run_for(500ms);
+    EXPECT(served(world, vms, 40) == 40);
+    world.store().set_outage(standin::kv_outage::silent);
+    // One answer is enough for the VMs of a failure domain.
+    constexpr std::uint64_t domains = 2;
+    const auto gets_nothing_more = [&](standin::platform_target& target)
+    {
+        const auto before = target.arrivals();
+        EXPECT(served(world, vms, 120) == 120);
+        const auto arrivals = target.arrivals() - before;
+        return arrivals > 0 && arrivals <= domains;
+    };
+    section("in a success",
+            [&]
+            {
+                targets[0]->set_leaving(true);
+                EXPECT(gets_nothing_more(*targets[0]));
+            });
+    section("in a failure",
+            [&]
+            {
+                targets[1]->set_leaving(true);
+                targets[1]->set_failing(true);
+                EXPECT(gets_nothing_more(*targets[1]));
+            });
+    section("its entry, written again, does not bring it back",
+            [&]
+            {
+                world.store().set_outage(standin::kv_outage::none);
+                const auto told = targets[0]->arrivals();
+                world.register_target("m1", "ready");
+                world.run_for(3s);
+                EXPECT(served(world, vms, 40) == 40);
+                EXPECT(targets[0]->arrivals() == told);
+            });
+    section("another incarnation does",
+            [&]
+            {
+                const auto before = targets[0]->arrivals();
+                targets[0]->set_leaving(false);
+                world.register_target("m1", "ready", 2000);
+                world.run_for(3s);
+                EXPECT(served(world, vms, 60) == 60);
+                EXPECT(targets[0]->arrivals() > before);
+            });
+}
+
+// Guards against requests to a target for the time for which it has asked for
+// none (BUDGET), and against callers that wait for it in vain.
+Test(gateway_withdrawal, a_target_asks_for_a_pause)
+{
+    gateway_world world(1);
+    auto& first = world.add_target("maps", named("m1"));
+    world.configure();
+    EXPECT(world.start_all());
+    EXPECT(world.until([&] { return world.call(0).response.status == 200; }));
+    section("all targets want nothing: refused at once, with the time left",
+            [&]
+            {
+                first.set_retry_after("3.5");
+                EXPECT(world.call(0).response.status == 503);
+                const auto paused = first.arrivals();
+                const auto sent = world.caller().loop().now();
+                const auto got = world.call(0);
+                EXPECT(world.caller().loop().now() - sent < 150ms);
+                EXPECT(got.response.status == 503);
+                // A third of the caller's time, which is shorter.
+                const double retry_after = std::stod(
+                    std::string(got.response.headers.value("retry-after")));
+                EXPECT(retry_after > 0.9 && retry_after < 1.1);
+                EXPECT(first.arrivals() == paused);
+            });
+    section("nothing reaches it until the end",
+            [&]
+            {
+                const auto paused = first.arrivals();
+                first.set_retry_after("");
+                const auto end = world.caller().loop().now() + 2900ms;
+                while (world.caller().loop().now() < end)
+                {
+                    world.call(0);
+                    world.run_for(30ms);
+                }
+                EXPECT(first.arrivals() == paused);
+                EXPECT(world.until(
+                    [&] { return world.call(0).response.status == 200; }, 3s));
+            });
+    section("another target serves meanwhile",
+            [&]
+            {
+                auto& second = world.add_target("maps", named("m2"));
+                world.run_for(2s);
+                first.set_retry_after("3600");
+                served(world, 1, 20);
+                const auto paused = first.arrivals();
+                EXPECT(served(world, 1, 20) == 20);
+                EXPECT(first.arrivals() == paused);
+                EXPECT(second.arrivals() > 20);
+            });
+    section("a pause of an hour ends with the incarnation",
+            [&]
+            {
+                const auto paused = first.arrivals();
+                first.set_retry_after("");
+                world.register_target("m1", "ready", 2000);
+                world.run_for(3s);
+                EXPECT(served(world, 1, 40) == 40);
+                EXPECT(first.arrivals() > paused);
+                EXPECT(world.log(0).find("name=target_withdrawn target=m1 "
+                                         "service=maps reason=pause") !=
+                       std::string::npos);
+            });
+}
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -56,6 +56,9 @@
 class gateway_world
 {
 public:
+    /// @brief Start of a target's first incarnation, in Unix milliseconds.
+    static constexpr std::int64_t first_born = 1000;
+
     /// @param vms gateway processes; they are started by `start`
     explicit gateway_world(std::size_t vms,
                            link_kind links = link_kind::direct);
@@ -80,7 +83,9 @@
                    std::uint16_t port);
 
     /// @brief Writes a target's entry again.
-    void register_target(const std::string& id, const std::string& state);
+    /// @param born start of the target's incarnation, in Unix milliseconds
+    void register_target(const std::string& id, const std::string& state,
+                         std::int64_t born = first_born);
 
     /// @brief Starts a request; the answer goes to `done`.
     std::shared_ptr<siskinflow::net::http_call>
@@ -172,6 +177,7 @@
         std::uint16_t port = 0;
         unsigned slots = 0;
         std::string state;
+        std::int64_t born = first_born;
     };
     void write_entry(const std::string& id, const target_entry& entry);
 
--- a/tests/unit/gateway_targets_test.cpp
+++ b/tests/unit/gateway_targets_test.cpp
@@ -186,3 +186,95 @@
             RC_ASSERT(directory.average_targets_per_domain("maps") == average);
         }));
 }
+
+// Guards against a request to a target that has said that it leaves (DRAIN), or
+// for a time that it wants nothing (BUDGET).
+Test(gateway_targets, get_no_requests_that_they_do_not_want)
+{
+    const time_point start{100s};
+    target_directory directory({"north-1", "north"});
+    register_all(directory, start);
+    const std::string id = "north-1-a";
+    const auto chosen = [&](time_point now)
+    { return used_targets(directory, {"north"}, false, now).count(id) == 1; };
+    const auto wish = [&](std::int64_t incarnation, const target_wish& value)
+    { directory.on_wish(id, incarnation, value, 1s); };
+    section("a pause, which is not shortened by a later answer",
+            [&]
+            {
+                EXPECT(chosen(start));
+                wish(1, {false, start + 10s});
+                wish(1, {false, start + 2s});
+                EXPECT(!chosen(start + 9s));
+                EXPECT(chosen(start + 10s));
+            });
+    section("requests return in steps",
+            [&]
+            {
+                EXPECT(directory.find(id)->cold(start + 10500ms));
+                EXPECT(!directory.find(id)->cold(start + 11s));
+            });
+    section("an answer of an earlier incarnation changes nothing",
+            [&]
+            {
+                wish(0, {true, {}});
+                EXPECT(chosen(start + 20s));
+            });
+    section("leaving, whatever the registration says",
+            [&]
+            {
+                wish(1, {true, {}});
+                EXPECT(!chosen(start + 20s));
+                directory.put(make_record(id, "north-1", "north"), start + 20s);
+                EXPECT(!chosen(start + 1h));
+            });
+    section("also if the registration was missing for a while",
+            [&]
+            {
+                directory.remove(id);
+                directory.put(make_record(id, "north-1", "north"), start + 30s);
+                EXPECT(!chosen(start + 1h));
+            });
+    section("another incarnation gets requests",
+            [&]
+            {
+                target_record next = make_record(id, "north-1", "north");
+                next.started_at_ms = 2;
+                directory.put(next, start + 40s);
+                EXPECT(chosen(start + 40s));
+                wish(1, {true, {}});
+                EXPECT(chosen(start + 40s));
+            });
+    section("what is said before the registration is known",
+            [&]
+            {
+                wish(3, {true, {}});
+                target_record next = make_record(id, "north-1", "north");
+                next.started_at_ms = 3;
+                directory.put(next, start + 50s);
+                EXPECT(!chosen(start + 50s));
+            });
+}
+
+// Guards against a caller that is told to come back at any time but that at
+// which a target wants requests again.
+Test(gateway_targets, tell_when_one_wants_requests_again)
+{
+    const time_point start{100s};
+    target_directory directory({"north-1", "north"});
+    target_chooser chooser(directory, {});
+    choice_request request;
+    request.service = "maps";
+    request.region_allowed = [](std::string_view region)
+    { return region == "north"; };
+    EXPECT(!chooser.wanted_again_at(request, start));
+    register_all(directory, start);
+    EXPECT(!chooser.wanted_again_at(request, start));
+    directory.on_wish("north-1-a", 1, {true, {}}, 1s);
+    directory.on_wish("north-1-b", 1, {false, start + 5s}, 1s);
+    directory.on_wish("north-2-a", 1, {false, start + 3s}, 1s);
+    EXPECT(!chooser.wanted_again_at(request, start));
+    directory.on_wish("north-2-b", 1, {false, start + 9s}, 1s);
+    EXPECT(chooser.wanted_again_at(request, start) == start + 3s);
+    EXPECT(!chooser.wanted_again_at(request, start + 3s));
+}
