Let the soak meet busy stops, lost watches and what targets say

The soak was green while people who ran the programs met cut requests: its VMs were idle most of the time, so that planned stops found nothing in progress.

Change: orders take 0.4 s, so that each VM always has some in progress; targets leave and ask for pauses; a key is withdrawn while the answers to all watches are lost.

--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -67,6 +67,10 @@
         return;
     }
     ++arrivals_;
+    if (on_arrival_)
+    {
+        on_arrival_(id, !retry_after_.empty());
+    }
     if (running_ >= options_.slots || !retry_after_.empty())
     {
         net::http_headers rejection = answer_headers(exchange);
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -7,6 +7,7 @@
 #include <siskinflow/net/http_server.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -87,12 +88,27 @@
         retry_after_ = std::move(value);
     }
 
+    /// @brief The time that the Retry-After value states.
+    siskinflow::duration pause() const
+    {
+        return std::chrono::duration_cast<siskinflow::duration>(
+            std::chrono::duration<double>(std::stod(retry_after_)));
+    }
+
     /// @brief Makes the target answer with a failure after each run, or not.
     void set_failing(bool failing)
     {
         failing_ = failing;
     }
 
+    /// @brief Called with the id of each request that arrives.
+    /// @param turned_away whether it is answered with a Retry-After
+    void on_arrival(
+        std::function<void(const std::string& id, bool turned_away)> call)
+    {
+        on_arrival_ = std::move(call);
+    }
+
     /// @brief Requests that have arrived, those turned away included.
     std::uint64_t arrivals() const
     {
@@ -126,6 +142,7 @@
     bool failing_ = false;
     std::string retry_after_;
     std::uint64_t arrivals_ = 0;
+    std::function<void(const std::string&, bool)> on_arrival_;
 };
 
 } // namespace standin
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -131,8 +131,8 @@
     flags.insert(flags.end(), flags_.begin(), flags_.end());
     // As the platform does after the grace time; it would keep the ports.
     vms_[vm].reset();
-    vms_[vm] = std::make_unique<processes::child>("siskinflow_gateway", flags,
-                                                  logs_[vm]);
+    vms_[vm] =
+        std::make_unique<processes::child>(gateway_program_, flags, logs_[vm]);
 }
 
 bool gateway_world::start_all()
@@ -165,7 +165,7 @@
           {"header-timeout", "3000ms"},
           {"idle-timeout", "15000ms"}}},
         {"tenants", table({{{"name", "acme"},
-                            {"api-keys", {"key-of-acme"}},
+                            {"api-keys", keys_},
                             {"priority", 0},
                             {"rate-per-s", 10000},
                             {"burst", 10000},
--- a/tests/lib/processes.cpp
+++ b/tests/lib/processes.cpp
@@ -52,6 +52,10 @@
 
 std::string program_path(const std::string& name)
 {
+    if (name.starts_with('/'))
+    {
+        return name;
+    }
     return std::string(SISKINFLOW_BINARY_DIR) + "/" + name;
 }
 
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -10,10 +10,13 @@
 #include <iostream>
 #include <random>
 #include <set>
+#include <sstream>
 
 DEFINE_uint64(seed, 1, "Seed of the faults");
 DEFINE_uint32(seconds, 20, "Time with faults, in seconds (1-3600)");
 DEFINE_uint32(vms, 3, "Gateway processes (1-30)");
+DEFINE_string(gateway, "",
+              "Absolute path of another build of the gateway; empty: this one");
 
 using namespace siskinflow;
 using namespace std::chrono_literals;
@@ -29,6 +32,15 @@
 /// After the last fault: the bound of 15 s for service as before.
 constexpr std::chrono::milliseconds recovery_limit{15000};
 constexpr int recovered_in_a_row = 30;
+/// Orders take long enough that each VM always has some in progress.
+constexpr std::chrono::milliseconds order_work{400};
+constexpr unsigned order_slots = 100;
+/// Bounds of the platform: after a change, after a disturbance, and after a
+/// target has turned a request away.
+constexpr std::chrono::milliseconds drain_limit{2500};
+constexpr std::chrono::milliseconds contact_time{4000};
+constexpr std::chrono::milliseconds pause_allowance{500};
+constexpr int sends_allowed_in_pause = 2;
 
 /// Counts promises kept and broken, from what callers and targets see.
 class promise_checker
@@ -39,6 +51,68 @@
     {
     }
 
+    /// A request was sent to a VM.
+    void on_sent(const caller_request& request, std::size_t vm, time_point now)
+    {
+        sent_[request.id] = {vm, now};
+    }
+
+    /// A VM was started or has resumed: it knows nothing of what targets said.
+    void on_restarted(std::size_t vm)
+    {
+        std::erase_if(pauses_, [vm](const auto& entry)
+                      { return entry.first.second == vm; });
+        std::erase_if(told_leaving_, [vm](const auto& entry)
+                      { return entry.first.second == vm; });
+    }
+
+    /// A target has started anew.
+    void on_target_restarted(const std::string& target)
+    {
+        std::erase_if(pauses_, [&](const auto& entry)
+                      { return entry.first.first == target; });
+        std::erase_if(told_leaving_, [&](const auto& entry)
+                      { return entry.first.first == target; });
+    }
+
+    /// A request has arrived at a target.
+    /// @param pause for which it was turned away; zero if it was taken
+    void on_arrival(const std::string& target, const std::string& id,
+                    duration pause)
+    {
+        const auto sent = sent_.find(id);
+        if (sent == sent_.end())
+        {
+            return;
+        }
+        const time_point now = world_.caller().loop().now();
+        caller_request request;
+        request.id = id;
+        const std::pair key(target, sent->second.vm);
+        const auto told = told_leaving_.find(key);
+        require(told == told_leaving_.end() ||
+                    sent->second.at <= told->second + drain_limit,
+                request, "reached a target that had said that it leaves");
+        stated_pause& stated = pauses_[key];
+        if (now > stated.since + pause_allowance && now < stated.until)
+        {
+            ++stated.arrivals;
+            most_in_pause_ = std::max(most_in_pause_, stated.arrivals);
+            require(stated.arrivals <= sends_allowed_in_pause, request,
+                    "reached a target that wanted nothing");
+        }
+        if (pause > duration::zero() && now >= stated.until)
+        {
+            stated = {now, now + pause, 0};
+        }
+    }
+
+    /// Most requests of a VM that reached a target in one pause.
+    int most_in_pause() const
+    {
+        return most_in_pause_;
+    }
+
     /// A VM is killed or paused, or its connections to callers are disturbed:
     /// requests that it has now may end without an answer.
     void on_disturbed(std::size_t vm)
@@ -68,6 +142,16 @@
             require(!order || runs == 0, request,
                     "refused as not run although it ran");
         }
+        if (status == 200 && got.response.headers.contains("server-leaving"))
+        {
+            // "answer of TARGET to PATH"
+            std::istringstream words(got.response.body);
+            std::string word;
+            std::string target;
+            words >> word >> word >> target;
+            told_leaving_.try_emplace({target, vm},
+                                      world_.caller().loop().now());
+        }
         if (status == 200)
         {
             require(got.response.body.ends_with(" to " + request.path) &&
@@ -118,7 +202,25 @@
     }
 
 private:
+    struct sent_request
+    {
+        std::size_t vm = 0;
+        time_point at;
+    };
+    /// A time for which a target wants nothing from a VM.
+    struct stated_pause
+    {
+        time_point since{};
+        time_point until{};
+        int arrivals = 0; ///< Within it, after the allowance.
+    };
+    using target_and_vm = std::pair<std::string, std::size_t>;
+
     gateway_world& world_;
+    std::map<std::string, sent_request> sent_; ///< By request id.
+    std::map<target_and_vm, stated_pause> pauses_;
+    std::map<target_and_vm, time_point> told_leaving_;
+    int most_in_pause_ = 0;
     std::vector<time_point> disturbed_; ///< By VM, for the last time.
     std::vector<std::string> last_;     ///< By VM.
     std::map<int, int> statuses_;
@@ -169,6 +271,7 @@
         request.kept_connection = random_() % 2 == 0;
         const std::size_t vm = random_() % FLAGS_vms;
         const time_point sent = world_.caller().loop().now();
+        promises_.on_sent(request, vm, sent);
         running_[request.id] = world_.send(
             vm, request,
             [this, vm, sent, request](const net::fetch_result& got)
@@ -209,7 +312,7 @@
         const std::size_t vm = random_() % FLAGS_vms;
         const std::chrono::milliseconds time(300 +
                                              random_() % longest_fault.count());
-        switch (random_() % 12)
+        switch (random_() % 14)
         {
         case 0:
             restart(vm, SIGKILL, time);
@@ -246,6 +349,12 @@
         case 10:
             disturb_callers(vm, time);
             break;
+        case 11:
+            leave(random_() % targets_.size(), time);
+            break;
+        case 12:
+            turn_away(random_() % targets_.size(), time);
+            break;
         default:
             say("new configuration");
             world_.configure();
@@ -283,6 +392,7 @@
                   {
                       restarting_.erase(vm);
                       world_.start(vm);
+                      promises_.on_restarted(vm);
                   });
         }
     }
@@ -296,6 +406,7 @@
               [this, vm]
               {
                   promises_.on_disturbed(vm);
+                  promises_.on_restarted(vm);
                   world_.vm(vm).signal(SIGCONT);
               });
     }
@@ -362,11 +473,34 @@
         later(time, [this, target] { targets_[target]->set_cut_part(0); });
     }
 
+    /// The target says in its answers that it leaves, and starts anew later.
+    void leave(std::size_t target, std::chrono::milliseconds time)
+    {
+        say("a target is leaving");
+        targets_[target]->set_leaving(true);
+        later(2 * time,
+              [this, target]
+              {
+                  targets_[target]->set_leaving(false);
+                  const std::string& id = targets_[target]->id();
+                  promises_.on_target_restarted(id);
+                  world_.register_target(id, "ready", ++last_born_);
+              });
+    }
+
+    void turn_away(std::size_t target, std::chrono::milliseconds time)
+    {
+        say("a target wants nothing for a time");
+        targets_[target]->set_retry_after(std::to_string(to_seconds(2 * time)));
+        later(time, [this, target] { targets_[target]->set_retry_after(""); });
+    }
+
     gateway_world& world_;
     promise_checker& promises_;
     std::vector<standin::platform_target*> targets_;
     std::mt19937_64& random_;
     std::set<std::size_t> restarting_;
+    std::int64_t last_born_ = gateway_world::first_born;
 };
 
 std::vector<standin::platform_target*> add_targets(gateway_world& world)
@@ -378,6 +512,11 @@
         {
             standin::platform_target_options options;
             options.id = std::string(service) + "-" + std::to_string(i);
+            if (std::string(service) == "orders")
+            {
+                options.work = order_work;
+                options.slots = order_slots;
+            }
             out.push_back(&world.add_target(service, options));
         }
     }
@@ -399,6 +538,28 @@
     }
 }
 
+/// Withdraws a key while the store loses the answers to all watches, and checks
+/// that no VM honours it once the change must be in force.
+void check_lost_watches(gateway_world& world, promise_checker& promises)
+{
+    world.set_keys({"key-of-acme", "key-to-withdraw"});
+    world.configure();
+    world.run_for(contact_time);
+    world.store().set_outage(standin::kv_outage::silent);
+    world.store().set_outage(standin::kv_outage::none);
+    world.set_keys({"key-of-acme"});
+    world.configure();
+    world.run_for(contact_time);
+    for (std::size_t vm = 0; vm < FLAGS_vms; ++vm)
+    {
+        caller_request request;
+        request.id = "look-with-a-withdrawn-key-" + std::to_string(vm);
+        request.key = "key-to-withdraw";
+        promises.require(world.call(vm, request).response.status != 200,
+                         request, "a withdrawn key is still honoured");
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -409,6 +570,10 @@
     std::mt19937_64 load_random(FLAGS_seed);
     std::mt19937_64 fault_random(~FLAGS_seed);
     gateway_world world(FLAGS_vms, link_kind::proxied);
+    if (!FLAGS_gateway.empty())
+    {
+        world.gateway_program(FLAGS_gateway);
+    }
     const auto targets = add_targets(world);
     world.configure();
     if (!world.start_all())
@@ -422,6 +587,16 @@
     }
     promise_checker promises(world);
     caller_load load(world, promises, load_random);
+    for (standin::platform_target* target : targets)
+    {
+        target->on_arrival(
+            [&promises, target](const std::string& id, bool turned_away)
+            {
+                const duration pause =
+                    turned_away ? target->pause() : duration::zero();
+                promises.on_arrival(target->id(), id, pause);
+            });
+    }
     fault_source faults(world, promises, targets, fault_random);
     load.start();
     auto striking =
@@ -439,6 +614,7 @@
     }
     load.stop();
     world.until([&] { return load.idle(); }, 5s);
+    check_lost_watches(world, promises);
     promises.check_late_runs();
     for (const standin::platform_target* target : targets)
     {
@@ -450,6 +626,7 @@
     {
         std::cout << ", " << status << ": " << count;
     }
-    std::cout << "; broken: " << promises.broken() << std::endl;
+    std::cout << "; most sends in a pause: " << promises.most_in_pause()
+              << "; broken: " << promises.broken() << std::endl;
     return promises.broken() == 0 ? 0 : 1;
 }
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -160,6 +160,19 @@
         flags_.push_back(flag);
     }
 
+    /// @brief Runs another build of the gateway from now on.
+    /// @param path absolute path of the program
+    void gateway_program(std::string path)
+    {
+        gateway_program_ = std::move(path);
+    }
+
+    /// @brief Sets the keys of the organisation from the next version on.
+    void set_keys(std::vector<std::string> keys)
+    {
+        keys_ = std::move(keys);
+    }
+
     /// @brief Replaces the store's address for gateways started from now on.
     void store_port(std::uint16_t port)
     {
@@ -197,6 +210,8 @@
     std::vector<std::unique_ptr<loopback_proxy>> caller_links_;
     std::map<std::string, std::unique_ptr<loopback_proxy>> target_links_;
     std::unique_ptr<loopback_proxy> store_link_;
+    std::string gateway_program_ = "siskinflow_gateway";
+    std::vector<std::string> keys_ = {"key-of-acme"};
     unsigned version_ = 0;
     unsigned last_request_ = 0;
 };
