Close a connection only after h2o has reported what was written to it

Cause: h2o frees a connection that is closed outside its loop although a completed write on it is still to be reported, and follows the freed entry of its event list for ever. Timers that run late in one pass sent a watch and replaced it before h2o ran.

Change: a call that was sent in the present pass of the loop is closed after the next one.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -83,6 +83,7 @@
     {
         wait = duration::zero();
     }
+    ++native_->passes;
     h2o_evloop_run(native_->loop, to_wait_milliseconds(wait));
     native_->poll_without_waiting = native_->timers.run_due(now());
     std::vector<std::function<void()>> ready;
--- a/src/net/h2o_native.hpp
+++ b/src/net/h2o_native.hpp
@@ -29,6 +29,7 @@
     /// Set after callbacks ran outside h2o's loop: h2o does not process their
     /// completed writes before it sleeps for the whole wait.
     bool poll_without_waiting = false;
+    std::uint64_t passes = 0; ///< Number of calls of h2o's loop.
     h2o_loop_t* loop = nullptr;
     h2o_multithread_queue_t* queue = nullptr;
     h2o_multithread_receiver_t getaddr_receiver{};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -137,6 +137,8 @@
     void deliver_body(h2o_http1client_t* client);
     void end(call_outcome outcome);
     void cancel_native_call();
+    void close_after_next_pass();
+    void close_native_call();
     void deregister(const std::shared_ptr<client_call>& self);
 
     http_client::impl* owner_;
@@ -157,6 +159,7 @@
     std::size_t unread_bytes_ = 0; ///< Received, and left in h2o's buffer.
     std::size_t body_bytes_ = 0;
     bool sent_ = false;
+    std::uint64_t sent_in_pass_ = 0; ///< Pass of the loop that sent it.
     bool head_received_ = false;
     bool in_callback_ = false;
     bool ended_ = false;
@@ -171,7 +174,7 @@
 
 client_call::~client_call()
 {
-    cancel_native_call();
+    close_native_call();
 }
 
 void client_call::start()
@@ -233,6 +236,34 @@
     {
         return;
     }
+    if (sent_ && sent_in_pass_ == owner_->loop.handle().passes)
+    {
+        close_after_next_pass();
+        return;
+    }
+    close_native_call();
+}
+
+/// Outside its loop, h2o 2.2 frees a closed connection even if it still has to
+/// report a write on it, and then follows the freed entry of its event list.
+/// Within one pass of the loop that report is made.
+void client_call::close_after_next_pass()
+{
+    event_loop& loop = owner_->loop;
+    // A callback posted by a timer runs before the next pass, the one that it
+    // posts runs after it.
+    const auto close =
+        [owner = owner_->shared_from_this(), self = shared_from_this()]
+    { self->close_native_call(); };
+    loop.post([close, &loop] { loop.post(close); });
+}
+
+void client_call::close_native_call()
+{
+    if (client_ == nullptr)
+    {
+        return;
+    }
     h2o_http1client_t* client = std::exchange(client_, nullptr);
     h2o_http1client_cancel(client);
 }
@@ -276,6 +307,7 @@
         return nullptr;
     }
     self->sent_ = true;
+    self->sent_in_pass_ = self->owner_->loop.handle().passes;
     self->buffers_[0] = h2o_iovec_init(self->head_.data(), self->head_.size());
     self->buffers_[1] =
         h2o_iovec_init(self->request_.body.data(), self->request_.body.size());
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -341,6 +341,7 @@
         const bool has_query = native_request_->query_at < path.size();
         request_.path = path.substr(0, has_query ? native_request_->query_at
                                                  : std::string_view::npos);
+        request_.has_query = has_query;
         if (has_query)
         {
             request_.query = path.substr(native_request_->query_at + 1);
--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -1,5 +1,6 @@
 #include "test_sections.hpp"
 #include <siskinflow/net/http_client.hpp>
+#include <siskinflow/net/http_server.hpp>
 
 #include <rapidcheck.h>
 
@@ -344,6 +345,44 @@
     }
 }
 
+// Guards against a call that is cancelled between two passes of the loop,
+// before h2o has reported its request as written: h2o frees the connection and
+// then loops for ever over its list of events.
+Test(net_client_faults, cancel_a_call_that_was_just_written, .timeout = 20)
+{
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const auto server =
+        http_server::listen(loop, {"127.0.0.1", 0}, {},
+                            [](const exchange_ptr& exchange) {
+                                exchange->respond({200, {}, "answer"});
+                            });
+    EXPECT(server.has_value());
+    const std::uint16_t port = server.value()->port();
+    client_request request;
+    request.peer = {"127.0.0.1", port};
+    const auto start_and_cancel = [&]
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            const auto first = fetch(client, request, 100, [](fetch_result) {});
+            const auto second =
+                fetch(client, request, 100, [](fetch_result) {});
+        }
+    };
+    for (int round = 0; round < 20; ++round)
+    {
+        EXPECT(fetch_from(port, loop, client, 2s).response.body == "answer");
+        loop.post(start_and_cancel);
+        loop.after(1ms, start_and_cancel);
+        for (int i = 0; i < 5; ++i)
+        {
+            loop.run_once(2ms);
+        }
+    }
+}
+
 // Guards against an interim head that is taken for the answer.
 Test(net_client_faults, skip_interim_heads)
 {
