Catch up once with a change that another VM knows

A VM that heard of a later revision replaced its watch with each confirmation, about once a second and always just before the answer.

Change: 0.3 s after a later revision was heard first, one call with the shortest wait asks for it if the running watch is older; the watch that follows is left alone. gateway_store/replaces_a_watch_whose_answer_was_lost counts the calls.

--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -19,6 +19,8 @@
 constexpr duration watch_answer_time = std::chrono::milliseconds(400);
 /// Time after which a running watch should have told what another VM knows.
 constexpr duration watch_delivery_time = std::chrono::milliseconds(300);
+/// The shortest wait that the platform's store accepts.
+constexpr duration min_watch_wait = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -45,8 +47,9 @@
     time_point request_time{}; ///< When the last listing or watch was sent.
     time_point confirmed_at{}; ///< By the store or by another VM.
     time_point peer_confirmed_at{};
-    duration current_wait{0};          ///< Of the last watch.
-    bool watching = false;             ///< A watch is running.
+    store_revision peers_last_change = 0; ///< Told by other VMs.
+    duration current_wait{0};             ///< Of the last watch.
+    bool watching = false;                ///< A watch is running.
     std::uint64_t current_watch = 0;   ///< Replies to earlier ones are ignored.
     std::uint64_t current_listing = 0; ///< The same for listings.
     bool confirms_for_others = false;
@@ -246,9 +249,37 @@
             peer_confirmed_at = std::max(peer_confirmed_at, confirmation.at);
             return;
         }
-        if (watching && time.now() - request_time >= watch_delivery_time)
+        if (confirmation.last_change > peers_last_change)
         {
-            replace_watch();
+            peers_last_change = confirmation.last_change;
+            catch_up_later(time.now());
+        }
+    }
+
+    /// Gives the running watch time to tell a change that another VM knows.
+    /// @param heard_at when this VM heard of the change
+    void catch_up_later(time_point heard_at)
+    {
+        timers.schedule(heard_at + watch_delivery_time,
+                        [weak = weak_from_this(), heard_at]
+                        {
+                            const auto self = weak.lock();
+                            if (self != nullptr && self->listener != nullptr)
+                            {
+                                self->catch_up_if_behind(heard_at);
+                            }
+                        });
+    }
+
+    void catch_up_if_behind(time_point heard_at)
+    {
+        const bool behind = revision < peers_last_change;
+        // A later watch would have told the change at once.
+        const bool watch_is_older = watching && request_time < heard_at;
+        if (behind && watch_is_older)
+        {
+            listener->on_watch_replaced(time.now() - confirmed_at);
+            watch_changes_for(min_watch_wait);
         }
     }
 
@@ -355,11 +386,9 @@
 
 void store_mirror::catch_up()
 {
-    // The shortest wait that the platform's store accepts.
-    constexpr duration min_wait = std::chrono::milliseconds(1);
     if (impl_->has_listed && !impl_->failing)
     {
-        impl_->watch_changes_for(min_wait);
+        impl_->watch_changes_for(min_watch_wait);
     }
 }
 
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -251,6 +251,18 @@
                     });
                 EXPECT(seen_within("third", limit / 2));
             });
+    section("a later revision without a change costs few calls",
+            [&]
+            {
+                fixture.service.put("b/1", "other prefix");
+                const mirror_confirmation later{fixture.service.revision(), {}};
+                const auto before = fixture.service.calls().at("/kv-watch");
+                const auto telling = fixture.loop.every(
+                    50ms, [&] { mirror.on_peer_confirmation(later); });
+                fixture.run_for(2 * limit);
+                // Watches that end by themselves, and one that catches up.
+                EXPECT(fixture.service.calls().at("/kv-watch") <= before + 6);
+            });
     section("confirmations of other VMs keep a quiet watch waiting",
             [&]
             {
