Log the proof on which an order is sent again or refused

Cause: the lines of a request tell how each attempt ended, but not why the gateway held the request for not run, lines of served requests have no steps, and answers of another request leave no line at all.

Change: attempt_history keeps what the attempts prove. A promise (408, 421, 429, 503) takes a not_run_proof and a send takes a send_permission; only attempt_history makes either, so code without one doesn't compile. The four places that chose between a refusal and a failure share end_unserved. request_not_served has `proof`, request_served has `steps`, and order_sent_again (1216) and foreign_answer (1217) are new, the latter with a counter. What counts as a rejection is unchanged; an attempt that was cut by its time limit before it was written no longer counts as a possible run.

--- /dev/null
+++ b/include/siskinflow/gateway/attempt_history.hpp
@@ -0,0 +1,87 @@
+/// @file
+/// @brief What the attempts of a request prove: whether it may have run.
+#pragma once
+
+#include <siskinflow/gateway/attempt_result.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Why it is certain that a request has not run and never will.
+enum class not_run_reason : std::uint8_t
+{
+    never_sent,  ///< No attempt was made.
+    not_written, ///< Nothing was written to a connection in the last attempt.
+    rejected,    ///< The target of the last attempt rejected it.
+    misdirected, ///< Another target answered at the address.
+};
+
+/// @brief Name of a reason in snake_case, "unknown" if undefined.
+std::string_view name(not_run_reason value) noexcept;
+
+/// @brief Proof that a request has not run and never will. Whoever promises
+/// that to the caller needs one, and only `attempt_history` gives it.
+class not_run_proof
+{
+public:
+    not_run_reason reason() const
+    {
+        return reason_;
+    }
+
+private:
+    friend class attempt_history;
+    explicit not_run_proof(not_run_reason reason) : reason_(reason) {}
+
+    not_run_reason reason_;
+};
+
+/// @brief Permission to send a request to a target: it has not run, or may run
+/// more than once. Only `attempt_history` gives it.
+class send_permission
+{
+private:
+    friend class attempt_history;
+    send_permission() = default;
+};
+
+/// @brief The attempts of one request.
+class attempt_history
+{
+public:
+    /// @brief An attempt begins.
+    void on_started(send_permission permission);
+
+    /// @brief The attempt in progress has ended.
+    /// @param result how it ended
+    /// @param written whether its connection was established, so that bytes of
+    /// the request may have reached the target
+    void on_ended(attempt_result result, bool written);
+
+    /// @brief Proof that the request has not run and never will.
+    /// @return nothing if an attempt is in progress or may have run
+    std::optional<not_run_proof> not_run() const;
+
+    /// @brief Permission for a further attempt.
+    /// @param idempotent whether the request may run more than once
+    /// @return nothing if the request might then run twice and must not, or if
+    /// an attempt is in progress
+    std::optional<send_permission> may_send(bool idempotent) const;
+
+    /// @brief Attempts that have ended and may have run.
+    unsigned possible_runs() const
+    {
+        return possible_runs_;
+    }
+
+private:
+    not_run_reason last_reason_ = not_run_reason::never_sent;
+    unsigned possible_runs_ = 0;
+    bool in_progress_ = false;
+};
+
+} // namespace siskinflow::gateway
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -4,6 +4,7 @@
 
 #include <siskinflow/budget/bucket.hpp>
 #include <siskinflow/core/clock.hpp>
+#include <siskinflow/gateway/attempt_result.hpp>
 #include <siskinflow/gateway/object_scope.hpp>
 #include <siskinflow/gateway/placement.hpp>
 #include <siskinflow/gateway/target_record.hpp>
@@ -21,22 +22,6 @@
 namespace siskinflow::gateway
 {
 
-/// @brief How a request to a target ended; input of the target's health.
-enum class attempt_result : std::uint8_t
-{
-    answered,    ///< A complete answer that is not a failure.
-    failed,      ///< A complete answer that reports a failure.
-    rejected,    ///< The target had no room and did not run it.
-    misdirected, ///< Another target uses the address.
-    unreachable, ///< No connection could be made.
-    broken,      ///< The connection or the answer broke.
-    no_answer,   ///< No answer within the time limit.
-    abandoned,   ///< The caller left; not counted as a failure.
-    withdrawn,   ///< Not sent, because the target no longer wants requests.
-};
-
-std::string_view name(attempt_result value) noexcept;
-
 /// @brief Load that a target reports with its answers.
 struct load_report
 {
--- a/include/siskinflow/telemetry/event_id.hpp
+++ b/include/siskinflow/telemetry/event_id.hpp
@@ -74,6 +74,8 @@
     answers_cut = 1213,
     target_withdrawn = 1214,
     target_wanted_again = 1215,
+    order_sent_again = 1216,
+    foreign_answer = 1217,
 };
 
 /// @brief One row of the table, described in `docs/events.md`.
--- a/include/siskinflow/telemetry/metric_id.hpp
+++ b/include/siskinflow/telemetry/metric_id.hpp
@@ -60,6 +60,7 @@
     target_withdrawals,
     withdrawn_targets,
     malformed_answer_fields,
+    foreign_answers,
 };
 
 /// @brief One row of the table, described in `docs/metrics.md`.
--- /dev/null
+++ b/src/gateway/attempt_history.cpp
@@ -0,0 +1,84 @@
+#include <siskinflow/gateway/attempt_history.hpp>
+
+#include <array>
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 9> result_names = {
+    "answered", "failed",    "rejected",  "misdirected", "unreachable",
+    "broken",   "no_answer", "abandoned", "withdrawn"};
+
+constexpr std::array<std::string_view, 4> reason_names = {
+    "never_sent", "not_written", "rejected", "misdirected"};
+
+/// What the end of an attempt proves; nothing if it may have run.
+std::optional<not_run_reason> proof_of(attempt_result result, bool written)
+{
+    if (!written)
+    {
+        return not_run_reason::not_written;
+    }
+    switch (result)
+    {
+    case attempt_result::rejected:
+        return not_run_reason::rejected;
+    case attempt_result::misdirected:
+        return not_run_reason::misdirected;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string_view name(attempt_result value) noexcept
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < result_names.size() ? result_names[index] : "unknown";
+}
+
+std::string_view name(not_run_reason value) noexcept
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < reason_names.size() ? reason_names[index] : "unknown";
+}
+
+void attempt_history::on_started(send_permission /*permission*/)
+{
+    in_progress_ = true;
+}
+
+void attempt_history::on_ended(attempt_result result, bool written)
+{
+    in_progress_ = false;
+    if (const auto reason = proof_of(result, written))
+    {
+        last_reason_ = *reason;
+        return;
+    }
+    ++possible_runs_;
+}
+
+std::optional<not_run_proof> attempt_history::not_run() const
+{
+    if (in_progress_ || possible_runs_ > 0)
+    {
+        return std::nullopt;
+    }
+    return not_run_proof(last_reason_);
+}
+
+std::optional<send_permission> attempt_history::may_send(bool idempotent) const
+{
+    if (in_progress_ || (possible_runs_ > 0 && !idempotent))
+    {
+        return std::nullopt;
+    }
+    return send_permission();
+}
+
+} // namespace siskinflow::gateway
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -13,15 +13,6 @@
 /// Another target uses the address.
 constexpr int misdirected_status = 421;
 
-/// Whether the result proves that the target did not run the request.
-bool certainly_not_run(attempt_result result)
-{
-    return result == attempt_result::unreachable ||
-           result == attempt_result::rejected ||
-           result == attempt_result::misdirected ||
-           result == attempt_result::withdrawn;
-}
-
 /// Whether a status tells the caller that its request has not run. Such an
 /// answer must not be forwarded from a target that does not itself report that
 /// it has not run the request.
@@ -38,7 +29,8 @@
 {
     constexpr int expected_time_factor = 3;
     constexpr duration min_time_limit = std::chrono::milliseconds(700);
-    if (!route_->idempotent || possible_runs_ + 1 >= route_->max_attempts)
+    if (!route_->idempotent ||
+        attempts_.possible_runs() + 1 >= route_->max_attempts)
     {
         return;
     }
@@ -64,8 +56,7 @@
         return;
     }
     const bool target_alive = target_->answered_at() > sent_;
-    if (target_alive || state_.stop || !choose().choice ||
-        !may_retry(attempt_result::no_answer))
+    if (target_alive || state_.stop || !choose().choice || !take_retry())
     {
         start_attempt_timer();
         return;
@@ -104,9 +95,14 @@
     return out;
 }
 
-void request_flow::send(const target_choice& choice)
+void request_flow::send(const target_choice& choice, send_permission permission)
 {
     const time_point now = state_.now();
+    if (!tried_targets_.empty())
+    {
+        log_sent_again(choice);
+    }
+    attempts_.on_started(permission);
     target_ = choice.chosen;
     placement_ = choice.place;
     load_at_send_ =
@@ -186,6 +182,16 @@
 /// not serve another request.
 void request_flow::refuse_foreign_answer()
 {
+    state_.metric_set.counter(metric_id::foreign_answers).add();
+    if (state_.log.accepts(event_id::foreign_answer))
+    {
+        state_.log.write(event_id::foreign_answer,
+                         {{"request", caller_fields_.id},
+                          {"target", target_->record().id},
+                          {"answer_to", answer_fields_.id},
+                          {"status", status_},
+                          {"says_not_run", answer_fields_.not_run}});
+    }
     call_->cancel();
     state_.loop.post(
         [weak = weak_from_this(), call = call_]
@@ -315,25 +321,19 @@
     attempts_log_ += (attempts_log_.empty() ? "" : ",") + id + ":" +
                      std::string(gateway::name(result)) + ":" +
                      std::to_string(to_ms(now - sent_));
-    if (!certainly_not_run(result))
-    {
-        ++possible_runs_;
-        may_have_run_ = true;
-    }
+    attempts_.on_ended(result, call_->sent());
     call_.reset();
     state_.loop.cancel(attempt_timer_);
 }
 
-bool request_flow::may_retry(attempt_result result) const
+/// Takes a further attempt from the limits of the request and the budget of all
+/// VMs.
+bool request_flow::take_retry()
 {
     /// Rejections allowed for one request in addition to the attempts that ran.
     constexpr unsigned max_rejections = 2;
-    if (!certainly_not_run(result) && !route_->idempotent)
-    {
-        return false;
-    }
     const work_time work = state_.work(*route_, service_).current();
-    return possible_runs_ < route_->max_attempts &&
+    return attempts_.possible_runs() < route_->max_attempts &&
            tried_targets_.size() < route_->max_attempts + max_rejections &&
            remaining().deadline > work.warm &&
            state_.retries(service_).try_take();
@@ -341,7 +341,7 @@
 
 void request_flow::retry_or_end(attempt_result result)
 {
-    if (may_retry(result))
+    if (attempts_.may_send(route_->idempotent) && take_retry())
     {
         state_.metric_set.counter(metric_id::retries, {gateway::name(result)})
             .add();
@@ -354,23 +354,21 @@
         deliver();
         return;
     }
-    if (!may_have_run_)
-    {
-        refuse(refusal_reason::target_refused, expected_wait({}));
-        return;
-    }
+    end_unserved(refusal_reason::target_refused, failure_of(result),
+                 expected_wait({}));
+}
+
+failure_reason request_flow::failure_of(attempt_result result) const
+{
     switch (result)
     {
     case attempt_result::no_answer:
-        fail_with(failure_reason::timed_out);
-        return;
+        return failure_reason::timed_out;
     case attempt_result::failed:
-        fail_with(failure_reason::target_failed);
-        return;
+        return failure_reason::target_failed;
     default:
-        fail_with(headers_.size() > 0 ? failure_reason::bad_answer
-                                      : failure_reason::connection_lost);
-        return;
+        return headers_.size() > 0 ? failure_reason::bad_answer
+                                   : failure_reason::connection_lost;
     }
 }
 
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -36,14 +36,8 @@
     }
     const auto self = shared_from_this();
     give_up_call(attempt_result::no_answer);
-    if (may_have_run_)
-    {
-        fail_with(failure_reason::timed_out);
-    }
-    else
-    {
-        refuse(refusal_reason::deadline_exceeded_in_queue, std::nullopt);
-    }
+    end_unserved(refusal_reason::deadline_exceeded_in_queue,
+                 failure_reason::timed_out, std::nullopt);
     state_.place_waiting(service_);
 }
 
@@ -55,14 +49,8 @@
     }
     const auto self = shared_from_this();
     give_up_call(attempt_result::abandoned);
-    if (may_have_run_)
-    {
-        fail_with(failure_reason::cut_by_stop);
-    }
-    else
-    {
-        refuse(refusal_reason::leaving, min_retry_after);
-    }
+    end_unserved(refusal_reason::leaving, failure_reason::cut_by_stop,
+                 min_retry_after);
 }
 
 /// @param result of an attempt that has reached its target
@@ -120,7 +108,22 @@
     finish();
 }
 
-void request_flow::refuse(refusal_reason reason,
+/// Ends a request that no target has answered: refused if it has certainly not
+/// run, otherwise with a failure that promises nothing.
+void request_flow::end_unserved(refusal_reason refusal, failure_reason failure,
+                                std::optional<duration> retry_after)
+{
+    if (const auto proof = attempts_.not_run())
+    {
+        refuse(*proof, refusal, retry_after);
+        return;
+    }
+    fail_with(failure);
+}
+
+/// The statuses 408, 421, 429 and 503 promise that the request has not run and
+/// never will, so nothing else may answer with them.
+void request_flow::refuse(not_run_proof /*proof*/, refusal_reason reason,
                           std::optional<duration> retry_after)
 {
     state_.metric_set.counter(metric_id::refusals, {siskinflow::name(reason)})
@@ -183,6 +186,13 @@
                                     : std::string_view(organisation_->name);
 }
 
+/// Why the request has certainly not run; "none" if it may have.
+std::string_view request_flow::proof_name() const
+{
+    const auto proof = attempts_.not_run();
+    return proof ? gateway::name(proof->reason()) : "none";
+}
+
 duration request_flow::elapsed() const
 {
     return state_.now() - arrived_;
@@ -207,11 +217,29 @@
                       {"total_ms", to_ms(elapsed())},
                       {"status", status},
                       {"policy", policy_->document().version},
+                      {"steps", attempts_log_},
                       {"load", load_at_send_},
                       {"expected_ms", to_ms(placement_.expected)},
                       {"objective_ms", to_ms(route_->objective)}});
 }
 
+/// A line for each further attempt of a request that must not run twice: it
+/// tells what the attempt rests on.
+void request_flow::log_sent_again(const target_choice& choice)
+{
+    if (route_->idempotent || !state_.log.accepts(event_id::order_sent_again))
+    {
+        return;
+    }
+    state_.log.write(event_id::order_sent_again,
+                     {{"request", caller_fields_.id},
+                      {"route", route_->name},
+                      {"target", choice.chosen->record().id},
+                      {"proof", proof_name()},
+                      {"steps", attempts_log_},
+                      {"policy", policy_->document().version}});
+}
+
 void request_flow::log_not_served(int status, std::string_view reason,
                                   std::optional<duration> retry_after)
 {
@@ -236,6 +264,7 @@
          {"waited_ms", to_ms(waited_)},
          {"total_ms", to_ms(elapsed())},
          {"steps", attempts_log_},
+         {"proof", proof_name()},
          {"retry_after_ms", retry_after ? to_ms(*retry_after) : 0},
          {"policy", policy_ == nullptr ? 0 : policy_->document().version},
          {"policy_age_ms", to_ms(state_.now() - state_.policy_since)},
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -62,7 +62,7 @@
             retry_after =
                 state_.shares[organisation_->name].wait_time(state_.now());
         }
-        refuse(*refused, retry_after);
+        end_unserved(*refused, failure_reason::target_failed, retry_after);
         return;
     }
     deadline_timer_ = state_.loop.after(deadline_ - state_.now(),
@@ -218,10 +218,16 @@
 
 void request_flow::place()
 {
+    const auto permission = attempts_.may_send(route_->idempotent);
+    if (!permission)
+    {
+        fail_with(failure_reason::target_failed);
+        return;
+    }
     const choice_outcome outcome = choose();
     if (outcome.choice)
     {
-        send(*outcome.choice);
+        send(*outcome.choice, *permission);
         return;
     }
     wait_or_refuse(outcome.failure);
@@ -244,15 +250,10 @@
     const duration expected = expected_wait(rank);
     if (failure == choice_failure::too_late || !may_wait(expected))
     {
-        if (may_have_run_)
-        {
-            fail_with(failure_reason::target_failed);
-            return;
-        }
-        refuse(failure == choice_failure::no_target
-                   ? refusal_reason::no_target
-                   : refusal_reason::region_at_capacity,
-               expected);
+        end_unserved(failure == choice_failure::no_target
+                         ? refusal_reason::no_target
+                         : refusal_reason::region_at_capacity,
+                     failure_reason::target_failed, expected);
         return;
     }
     waiting_since_ = state_.now();
@@ -287,23 +288,20 @@
         return;
     }
     stop_waiting();
-    if (may_have_run_)
-    {
-        fail_with(failure_reason::target_failed);
-        return;
-    }
-    refuse(refusal_reason::deadline_exceeded_in_queue, expected_wait({}));
+    end_unserved(refusal_reason::deadline_exceeded_in_queue,
+                 failure_reason::target_failed, expected_wait({}));
 }
 
 bool request_flow::place_waiting()
 {
+    const auto permission = attempts_.may_send(route_->idempotent);
     const choice_outcome outcome = choose();
-    if (!outcome.choice)
+    if (!permission || !outcome.choice)
     {
         return false;
     }
     stop_waiting();
-    send(*outcome.choice);
+    send(*outcome.choice, *permission);
     return true;
 }
 
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway_state.hpp"
 #include <siskinflow/admission/refusal.hpp>
+#include <siskinflow/gateway/attempt_history.hpp>
 #include <siskinflow/net/http_server.hpp>
 
 #include <memory>
@@ -74,7 +75,7 @@
     bool region_allowed(std::string_view region) const;
 
     // Attempts
-    void send(const target_choice& choice);
+    void send(const target_choice& choice, send_permission permission);
     net::client_request request_to(const target_choice& choice) const;
     void start_attempt_timer();
     void on_attempt_timer();
@@ -84,7 +85,8 @@
     attempt_result classify_answer() const;
     void update_estimates(attempt_result result);
     void retry_or_end(attempt_result result);
-    bool may_retry(attempt_result result) const;
+    bool take_retry();
+    failure_reason failure_of(attempt_result result) const;
     void release_target(attempt_result result);
 
     // Ends
@@ -92,15 +94,20 @@
     void give_up_call(attempt_result result);
     void on_caller_gone();
     void deliver();
-    void refuse(refusal_reason reason, std::optional<duration> retry_after);
+    void end_unserved(refusal_reason refusal, failure_reason failure,
+                      std::optional<duration> retry_after);
+    void refuse(not_run_proof proof, refusal_reason reason,
+                std::optional<duration> retry_after);
     void fail_with(failure_reason reason);
     void answer(int status, std::string_view reason,
                 std::optional<duration> retry_after);
     void finish();
     void log_served(int status);
+    void log_sent_again(const target_choice& choice);
     void log_not_served(int status, std::string_view reason,
                         std::optional<duration> retry_after);
     std::string_view organisation_name() const;
+    std::string_view proof_name() const;
     duration elapsed() const;
 
     gateway_state& state_;
@@ -128,9 +135,8 @@
     double load_at_send_ = 0;
     time_point sent_;
     std::vector<std::string> tried_targets_;
-    std::string attempts_log_;   ///< Attempts so far, for the log.
-    unsigned possible_runs_ = 0; ///< Attempts that may have run.
-    bool may_have_run_ = false;
+    std::string attempts_log_; ///< Attempts so far, for the log.
+    attempt_history attempts_;
 
     int status_ = 0;
     net::http_headers headers_;
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -1,7 +1,6 @@
 #include <siskinflow/gateway/targets.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <iterator>
 
@@ -42,18 +41,8 @@
 /// Objects recorded for one service.
 constexpr std::size_t max_objects = 20000;
 
-constexpr std::array<std::string_view, 9> result_names = {
-    "answered", "failed",    "rejected",  "misdirected", "unreachable",
-    "broken",   "no_answer", "abandoned", "withdrawn"};
-
 } // namespace
 
-std::string_view name(attempt_result value) noexcept
-{
-    const auto index = static_cast<std::size_t>(value);
-    return index < result_names.size() ? result_names[index] : "unknown";
-}
-
 // Target
 
 target::target(target_record record) : record_(std::move(record)) {}
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -49,14 +49,14 @@
 constexpr std::string_view map_failed_fields[] = {"revision", "reason"};
 
 constexpr std::string_view served_fields[] = {
-    "request", "route",  "organisation", "service",     "target",
-    "object",  "rank",   "attempts",     "waited_ms",   "total_ms",
-    "status",  "policy", "load",         "expected_ms", "objective_ms"};
+    "request", "route",    "organisation", "service",     "target", "object",
+    "rank",    "attempts", "waited_ms",    "total_ms",    "status", "policy",
+    "steps",   "load",     "expected_ms",  "objective_ms"};
 constexpr std::string_view not_served_fields[] = {
     "request",        "route",    "organisation",  "service",  "reason",
     "status",         "attempts", "waited_ms",     "total_ms", "steps",
-    "retry_after_ms", "policy",   "policy_age_ms", "waiting",  "targets",
-    "share",          "left_ms"};
+    "proof",          "policy",   "policy_age_ms", "waiting",  "targets",
+    "retry_after_ms", "share",    "left_ms"};
 constexpr std::string_view registration_fields[] = {
     "target", "service", "change", "failure_domain", "revision", "warm_up_ms"};
 constexpr std::string_view registration_refused_fields[] = {"item", "revision",
@@ -79,6 +79,10 @@
 constexpr std::string_view target_withdrawn_fields[] = {
     "target", "service", "reason", "for_ms", "told_by"};
 constexpr std::string_view target_wanted_again_fields[] = {"target", "service"};
+constexpr std::string_view order_sent_again_fields[] = {
+    "request", "route", "target", "proof", "steps", "policy"};
+constexpr std::string_view foreign_answer_fields[] = {
+    "request", "target", "answer_to", "status", "says_not_run"};
 
 constexpr event_info table[] = {
     {event_id::started, "started", log_level::info, started_fields},
@@ -159,6 +163,10 @@
      target_withdrawn_fields},
     {event_id::target_wanted_again, "target_wanted_again", log_level::info,
      target_wanted_again_fields},
+    {event_id::order_sent_again, "order_sent_again", log_level::info,
+     order_sent_again_fields},
+    {event_id::foreign_answer, "foreign_answer", log_level::warning,
+     foreign_answer_fields},
 };
 
 } // namespace
--- a/src/telemetry/metric_id.cpp
+++ b/src/telemetry/metric_id.cpp
@@ -115,6 +115,9 @@
     {malformed_answer_fields, "siskinflow_malformed_answer_fields_total",
      counter, "fields", no_labels,
      "Fields of targets' answers that were ignored because of their value."},
+    {foreign_answers, "siskinflow_foreign_answers_total", counter, "answers",
+     no_labels,
+     "Answers of targets that belonged to no request or to another one."},
 };
 
 } // namespace
