--- a/tests/process/gateway_faults_test.cpp
+++ b/tests/process/gateway_faults_test.cpp
@@ -1,15 +1,9 @@
 #include "gateway_world.hpp"
+#include "raw_target.hpp"
 #include "test_sections.hpp"
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <map>
-#include <mutex>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
-#include <vector>
 
 using namespace siskinflow;
 using namespace std::chrono_literals;
@@ -18,124 +12,29 @@
 namespace
 {
 
-/// A target on plain sockets. Before its answer to every second request on a
-/// connection it sends a rejection that belongs to no request.
-class interjecting_target
+std::string success(const std::string& id)
 {
-public:
-    interjecting_target()
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-        ::listen(listener_, SOMAXCONN);
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
-                      &length);
-        port_ = ntohs(address.sin_port);
-        acceptor_ = std::jthread([this] { accept_all(); });
-    }
-
-    ~interjecting_target()
-    {
-        ::shutdown(listener_, SHUT_RDWR);
-        acceptor_.join();
-        for (const int connection : connections_)
-        {
-            ::shutdown(connection, SHUT_RDWR);
-        }
-        workers_.clear();
-        ::close(listener_);
-    }
-
-    std::uint16_t port() const
-    {
-        return port_;
-    }
-
-    int runs(const std::string& id) const
-    {
-        const std::lock_guard lock(mutex_);
-        const auto found = runs_.find(id);
-        return found == runs_.end() ? 0 : found->second;
-    }
-
-    int interjections() const
-    {
-        return interjections_;
-    }
-
-private:
-    void accept_all()
-    {
-        for (;;)
-        {
-            const int connection = ::accept(listener_, nullptr, nullptr);
-            if (connection < 0)
-            {
-                return;
-            }
-            connections_.push_back(connection);
-            workers_.emplace_back([this, connection] { serve(connection); });
-        }
-    }
-
-    void serve(int connection)
-    {
-        std::string received;
-        char buffer[4096];
-        int requests = 0;
-        for (;;)
-        {
-            const auto count = ::recv(connection, buffer, sizeof(buffer), 0);
-            if (count <= 0)
-            {
-                break;
-            }
-            received.append(buffer, static_cast<std::size_t>(count));
-            const auto head_end = received.find("\r\n\r\n");
-            if (head_end == std::string::npos)
-            {
-                continue;
-            }
-            answer(connection, received.substr(0, head_end), ++requests);
-            received.erase(0, head_end + 4);
-        }
-        ::close(connection);
-    }
+    return "HTTP/1.1 200 OK\r\nsiskinflow-request-id: " + id +
+           "\r\nsiskinflow-response-signature: signed\r\n"
+           "content-length: 2\r\n\r\nok";
+}
 
-    void answer(int connection, const std::string& head, int request_number)
-    {
-        const std::string field = "siskinflow-request-id: ";
-        const auto at = head.find(field) + field.size();
-        const std::string id = head.substr(at, head.find("\r\n", at) - at);
-        {
-            const std::lock_guard lock(mutex_);
-            ++runs_[id];
-        }
-        std::string bytes;
-        if (request_number % 2 == 0)
-        {
-            ++interjections_;
-            bytes = "HTTP/1.1 503 Service Unavailable\r\n"
-                    "siskinflow-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
-        }
-        bytes += "HTTP/1.1 200 OK\r\nsiskinflow-request-id: " + id +
-                 "\r\nsiskinflow-response-signature: signed\r\n"
-                 "content-length: 2\r\n\r\nok";
-        (void)::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    }
+/// A head without a body.
+std::string head(const std::string& status_line, const std::string& fields)
+{
+    return "HTTP/1.1 " + status_line + "\r\n" + fields +
+           "content-length: 0\r\n\r\n";
+}
 
-    int listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    std::uint16_t port_ = 0;
-    mutable std::mutex mutex_;
-    std::map<std::string, int> runs_;
-    std::atomic<int> interjections_{0};
-    std::vector<int> connections_;
-    std::vector<std::jthread> workers_;
-    std::jthread acceptor_;
-};
+caller_request order(const std::string& id, const std::string& object)
+{
+    caller_request out;
+    out.path = "/orders/1";
+    out.method = "POST";
+    out.object = object;
+    out.id = id;
+    return out;
+}
 
 } // namespace
 
@@ -287,25 +186,31 @@
 Test(gateway_faults, a_rejection_without_an_id)
 {
     constexpr int order_count = 40;
-    interjecting_target first;
+    std::atomic<int> interjections{0};
+    raw_target first(
+        [&](const raw_target::request& arrived)
+        {
+            if (arrived.number % 2 != 0)
+            {
+                return success(arrived.id);
+            }
+            ++interjections;
+            return head("503 Service Unavailable",
+                        "siskinflow-not-executed: 1\r\n") +
+                   success(arrived.id);
+        });
     gateway_world world(1);
     world.configure();
     EXPECT(world.start_all());
     world.add_entry("raw", "orders", first.port());
-    auto& second = world.add_target("orders", named("o2"));
+    world.add_target("orders", named("o2"));
     world.run_for(1500ms);
     int failed = 0;
     for (int i = 0; i < order_count; ++i)
     {
-        caller_request order;
-        order.path = "/orders/1";
-        order.method = "POST";
-        order.object = std::to_string(i % 8);
-        order.id = "order-" + std::to_string(i);
-        const auto got = world.call(0, order);
-        const auto at_second = second.runs().find(order.id);
-        const int runs =
-            first.runs(order.id) + (at_second == second.runs().end() ? 0 : 1);
+        const std::string id = "order-" + std::to_string(i);
+        const auto got = world.call(0, order(id, std::to_string(i % 8)));
+        const int runs = first.runs(id) + world.runs(id);
         EXPECT(runs <= 1);
         EXPECT(runs == 0 || got.response.status == 200 ||
                got.response.status == 502);
@@ -314,7 +219,77 @@
     section("each order that met such bytes failed, and no other",
             [&]
             {
-                EXPECT(first.interjections() > 3);
-                EXPECT(failed == first.interjections());
+                EXPECT(interjections > 3);
+                EXPECT(failed == interjections);
+            });
+}
+
+// Guards against an order that is sent again, or reported as not run, because
+// of its own answer: a status or field that looks like a rejection, but does
+// not prove one (TWICE, REFUSED).
+Test(gateway_faults, an_answer_that_proves_no_rejection)
+{
+    constexpr int orders_per_answer = 3;
+    std::string status_line;
+    std::string fields;
+    raw_target target(
+        [&](const raw_target::request& arrived)
+        {
+            std::string own = fields;
+            const std::string instance = "{instance}";
+            if (const auto at = own.find(instance); at != std::string::npos)
+            {
+                own.replace(at, instance.size(), arrived.instance);
+            }
+            return head(status_line,
+                        own + "siskinflow-request-id: " + arrived.id + "\r\n");
+        });
+    gateway_world world(1);
+    world.configure();
+    EXPECT(world.start_all());
+    int entries = 0;
+    int number = 0;
+    const auto is_not_believed = [&](std::string status, std::string other)
+    {
+        status_line = std::move(status);
+        fields = std::move(other);
+        // A new entry, because those before may be ejected by now. The order
+        // finds no other target at first and others later.
+        world.add_entry("raw-" + std::to_string(++entries), "orders",
+                        target.port());
+        world.run_for(1s);
+        int reached = 0;
+        for (int i = 0; i < orders_per_answer; ++i)
+        {
+            const std::string id = "order-" + std::to_string(++number);
+            const auto got = world.call(0, order(id, std::to_string(i)));
+            EXPECT(target.runs(id) <= 1);
+            EXPECT(target.runs(id) == 0 || got.response.status == 502);
+            reached += target.runs(id);
+        }
+        EXPECT(reached > 0);
+    };
+    section("421 without a field that says so",
+            [&] { is_not_believed("421 Misdirected Request", ""); });
+    section("421 of the target that it was meant for",
+            [&]
+            {
+                is_not_believed("421 Misdirected Request",
+                                "siskinflow-instance-id: {instance}\r\n");
+            });
+    section("503 without a field that says so",
+            [&] { is_not_believed("503 Service Unavailable", ""); });
+    section("503 that denies it",
+            [&]
+            {
+                is_not_believed("503 Service Unavailable",
+                                "siskinflow-not-executed: 0\r\n");
+            });
+    section("503 that is signed as the answer of a run",
+            [&]
+            {
+                is_not_believed("503 Service Unavailable",
+                                "siskinflow-not-executed: 1\r\n"
+                                "siskinflow-response-signature: signed\r\n");
             });
 }
