Believe a rejection only if a field of the answer proves it

Callers saw: an order that had run was answered 503, which promises that it has not run (REFUSED), or ran at a second target as well (TWICE).

Cause: a status was taken for a proof. Any 421 with the order's id counted as "not run", and so did `Siskinflow-Not-Executed` with any value, in a success and in an answer that the target had signed as the result of a run.

Change: classify_answer, a pure function, is the one place that reads a rejection from an answer: unsigned, and either it says that it has not run, or it is a 421 in which another instance names itself. Anything else may have run: 502. 421 is never forwarded. An answer that bears several request ids belongs to no request.

--- a/include/siskinflow/gateway/message_codec.hpp
+++ b/include/siskinflow/gateway/message_codec.hpp
@@ -36,7 +36,9 @@
 /// @brief Fields of a target's answer beyond plain HTTP.
 struct answer_fields
 {
-    std::string_view id;          ///< Request that the answer belongs to.
+    /// Request that the answer belongs to; empty if it names none or several.
+    std::string_view id;
+    std::string_view instance;    ///< Target that answered; may be empty.
     bool signed_body = false;     ///< The target signed status and body.
     bool not_run = false;         ///< The target did not run the request.
     bool content_encoded = false; ///< The body was re-encoded on the way.
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -1,4 +1,5 @@
 #include "request_flow.hpp"
+#include <siskinflow/gateway/answer_result.hpp>
 
 #include <algorithm>
 
@@ -7,22 +8,6 @@
 namespace siskinflow::gateway
 {
 
-namespace
-{
-
-/// Another target uses the address.
-constexpr int misdirected_status = 421;
-
-/// Whether a status tells the caller that its request has not run. Such an
-/// answer must not be forwarded from a target that does not itself report that
-/// it has not run the request.
-bool status_means_not_run(int status)
-{
-    return status == 408 || status == 429 || status == 503;
-}
-
-} // namespace
-
 /// Detects a target that died silently long before the caller's deadline, which
 /// leaves time to try another one.
 void request_flow::start_attempt_timer()
@@ -137,6 +122,12 @@
         refuse_foreign_answer();
         return;
     }
+    if (answer_fields_.malformed_fields > 0)
+    {
+        state_.metric_set.counter(metric_id::malformed_answer_fields)
+            .add(answer_fields_.malformed_fields);
+    }
+    // A wish in a 421 is that of another target.
     if (status_ != misdirected_status)
     {
         apply_wish();
@@ -145,11 +136,6 @@
 
 void request_flow::apply_wish()
 {
-    if (answer_fields_.malformed_fields > 0)
-    {
-        state_.metric_set.counter(metric_id::malformed_answer_fields)
-            .add(answer_fields_.malformed_fields);
-    }
     target_wish wish;
     wish.leaving = answer_fields_.leaving;
     if (answer_fields_.pause)
@@ -214,7 +200,7 @@
     switch (outcome)
     {
     case net::call_outcome::complete:
-        return classify_answer();
+        return classify_answer(answer_fields_, status_, target_->record().id);
     case net::call_outcome::connect_failed:
     case net::call_outcome::connect_timed_out:
         return attempt_result::unreachable;
@@ -228,28 +214,6 @@
     return attempt_result::broken;
 }
 
-attempt_result request_flow::classify_answer() const
-{
-    if (status_ == misdirected_status)
-    {
-        return attempt_result::misdirected;
-    }
-    if (answer_fields_.not_run)
-    {
-        return attempt_result::rejected;
-    }
-    const bool success = status_ >= 200 && status_ < 300;
-    if (success)
-    {
-        const bool verified =
-            answer_fields_.signed_body && !answer_fields_.content_encoded;
-        return verified ? attempt_result::answered : attempt_result::broken;
-    }
-    return status_ >= 500 || status_means_not_run(status_)
-               ? attempt_result::failed
-               : attempt_result::answered;
-}
-
 void request_flow::on_end(net::call_outcome outcome)
 {
     if (ended_)
@@ -349,7 +313,7 @@
         return;
     }
     if (result == attempt_result::failed && answer_fields_.signed_body &&
-        !status_means_not_run(status_))
+        !promises_not_run(status_))
     {
         deliver();
         return;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -82,7 +82,6 @@
     void refuse_foreign_answer();
     void apply_wish();
     attempt_result classify_outcome(net::call_outcome outcome) const;
-    attempt_result classify_answer() const;
     void update_estimates(attempt_result result);
     void retry_or_end(attempt_result result);
     bool take_retry();
