--- a/tests/unit/gateway_request_orders_test.cpp
+++ b/tests/unit/gateway_request_orders_test.cpp
@@ -171,15 +171,16 @@
     out.push_back({"caller leaves",
                    [](const world& w) { return !w.exchange->done(); },
                    [](world& w) { w.exchange->leave(); }});
-    out.push_back(
-        {"stop", [](const world& w) { return !w.state.stop; },
-         [](world& w)
-         { w.state.stop.emplace(w.time.now(), w.state.settings.stop_grace); }});
+    out.push_back({"stop", [](const world& w) { return !w.state().stop; },
+                   [](world& w) {
+                       w.state().stop.emplace(w.time.now(),
+                                              w.state().settings.stop_grace);
+                   }});
     out.push_back({"cut of the stop",
-                   [](const world& w) { return w.state.stop.has_value(); },
+                   [](const world& w) { return w.state().stop.has_value(); },
                    [](world& w)
                    {
-                       const auto requests = w.state.in_progress;
+                       const auto requests = w.state().in_progress;
                        for (const auto& request : requests)
                        {
                            request->cut_by_stop();
@@ -191,9 +192,9 @@
     out.push_back({"target withdrawn",
                    [](const world& w) { return w.open_call() != nullptr; },
                    [](world& w)
-                   { w.state.targets.remove(w.open_call()->target()); }});
+                   { w.state().targets.remove(w.open_call()->target()); }});
     out.push_back(
-        {"free room", always, [](world& w) { w.state.place_all_waiting(); }});
+        {"free room", always, [](world& w) { w.state().place_all_waiting(); }});
     return out;
 }
 
@@ -237,7 +238,7 @@
         {
             return "no answer";
         }
-        if (!w.state.in_progress.empty() || w.open_call() != nullptr)
+        if (!w.state().in_progress.empty() || w.open_call() != nullptr)
         {
             return "kept after the end";
         }
--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -172,24 +172,16 @@
     std::function<void()> on_cancel_;
 };
 
-/// @brief One VM's data path with two targets; requests follow each other.
-/// Loop and state are shared by all requests, because h2o can't destroy a loop.
+/// @brief One VM's data path with up to two targets. Requests follow each
+/// other, each with a new state of the VM, on one loop, which h2o can't
+/// destroy.
 class world
 {
 public:
     static constexpr duration timeout = std::chrono::milliseconds(2000);
     static constexpr const char* request_id = "request-1";
 
-    world()
-        : loop(time), log(time, [](std::string_view /*line*/) {}),
-          state(loop, caller, codec, log, metric_set, settings())
-    {
-        gateway::policy policy;
-        policy.version = 1;
-        policy.routes = {route("orders", false), route("maps", true)};
-        policy.services = {service("orders"), service("maps")};
-        state.apply_policy(std::move(policy), 1);
-    }
+    world() : loop(time), log(time, [](std::string_view /*line*/) {}) {}
 
     /// @brief Begins a request, with targets in their first state.
     void begin(bool idempotent, int targets, bool pooled)
@@ -197,14 +189,18 @@
         constexpr duration gap = std::chrono::seconds(100);
         time.advance(gap);
         run();
-        state.stop.reset();
         caller.calls.clear();
+        state_.emplace(loop, caller, codec, log, metric_set, settings());
+        gateway::policy policy;
+        policy.version = 1;
+        policy.routes = {route("orders", false), route("maps", true)};
+        policy.services = {service("orders"), service("maps")};
+        state().apply_policy(std::move(policy), 1);
         caller.pooled = pooled;
         service_name = idempotent ? "maps" : "orders";
-        ++born_;
-        for (int i = 0; i < max_targets; ++i)
+        for (int i = 0; i < targets; ++i)
         {
-            put_target(i, i < targets);
+            put_target(i);
         }
         net::http_request request;
         request.method = idempotent ? "GET" : "POST";
@@ -214,7 +210,7 @@
                            {"siskinflow-request-deadline-ms", "2000"}};
         exchange = std::make_shared<recorded_exchange>(std::move(request));
         arrived = time.now();
-        std::make_shared<gateway::request_flow>(state, exchange)->start();
+        std::make_shared<gateway::request_flow>(state(), exchange)->start();
     }
 
     /// @brief One pass of the loop: what is due now.
@@ -236,14 +232,23 @@
         return nullptr;
     }
 
+    gateway::gateway_state& state()
+    {
+        return *state_;
+    }
+    const gateway::gateway_state& state() const
+    {
+        return *state_;
+    }
+
     /// @brief Makes a registered target say that it is leaving.
     void make_leave(const std::string& id)
     {
-        if (const auto entry = state.targets.find(id))
+        if (const auto entry = state().targets.find(id))
         {
             gateway::target_wish wish;
             wish.leaving = true;
-            state.on_target_wish(entry, wish, "a test");
+            state().on_target_wish(entry, wish, "a test");
         }
     }
 
@@ -253,14 +258,11 @@
     metrics metric_set;
     platform::http_codec codec;
     played_caller caller;
-    gateway::gateway_state state;
     std::shared_ptr<recorded_exchange> exchange;
     std::string service_name;
     time_point arrived;
 
 private:
-    static constexpr int max_targets = 2;
-
     static gateway::gateway_settings settings()
     {
         gateway::gateway_settings out;
@@ -296,27 +298,20 @@
         return out;
     }
 
-    void put_target(int number, bool registered)
+    void put_target(int number)
     {
-        const std::string id = service_name + "-" + std::to_string(number);
-        state.targets.remove(id);
-        if (!registered)
-        {
-            return;
-        }
         gateway::target_record record;
-        record.id = id;
+        record.id = service_name + "-" + std::to_string(number);
         record.service = service_name;
         record.address = {"127.0.0.1",
                           static_cast<std::uint16_t>(9000 + number)};
         record.failure_domain = "north-1";
         record.region = "north";
         record.slots = 6;
-        record.started_at_ms = born_;
-        state.targets.put(record, time.now());
+        state().targets.put(record, time.now());
     }
 
-    std::int64_t born_ = 1000;
+    std::optional<gateway::gateway_state> state_; ///< Empty before `begin`.
 };
 
 } // namespace request_flow_world
