--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -61,9 +61,14 @@
 {
     const net::http_headers& headers = exchange->request().headers;
     const std::string id(headers.value("siskinflow-request-id"));
-    if (headers.value("siskinflow-expected-instance") != options_.id)
+    if (replaced_ ||
+        headers.value("siskinflow-expected-instance") != options_.id)
     {
-        exchange->respond({421, {{"siskinflow-request-id", id}}, {}});
+        exchange->respond({421,
+                           {{"siskinflow-request-id", id},
+                            {"siskinflow-instance-id", "another"},
+                            {"siskinflow-not-executed", "1"}},
+                           {}});
         return;
     }
     ++arrivals_;
@@ -71,7 +76,7 @@
     {
         on_arrival_(id, !retry_after_.empty());
     }
-    if (running_ >= options_.slots || !retry_after_.empty())
+    if (full_ || running_ >= options_.slots || !retry_after_.empty())
     {
         net::http_headers rejection = answer_headers(exchange);
         rejection.add("siskinflow-not-executed", "1");
@@ -90,12 +95,49 @@
     ++runs_[id];
     ++running_;
     exchange->on_cancel([this] { ++cancelled_; });
-    loop_.after(options_.work, [this, exchange] { finish(exchange); });
+    const duration work = exchange->request().path.ends_with("long")
+                              ? options_.long_work
+                              : options_.work;
+    loop_.after(work, [this, exchange] { finish(exchange); });
+}
+
+void platform_target::answer_wrongly(const net::exchange_ptr& exchange) const
+{
+    net::http_headers headers = answer_headers(exchange);
+    switch (answer_fault_)
+    {
+    case answer_fault::none:
+    case answer_fault::plain_503:
+        exchange->respond({503, std::move(headers), {}});
+        return;
+    case answer_fault::plain_421:
+        exchange->respond({421, std::move(headers), {}});
+        return;
+    case answer_fault::plain_429:
+        exchange->respond({429, std::move(headers), {}});
+        return;
+    case answer_fault::no_id:
+        headers.remove("siskinflow-request-id");
+        break;
+    case answer_fault::other_id:
+        headers.set("siskinflow-request-id", "of-another-request");
+        break;
+    case answer_fault::signed_rejection:
+        headers.add("siskinflow-response-signature", "signed");
+        break;
+    }
+    headers.add("siskinflow-not-executed", "1");
+    exchange->respond({503, std::move(headers), {}});
 }
 
 void platform_target::finish(const net::exchange_ptr& exchange)
 {
     --running_;
+    if (answer_fault_ != answer_fault::none)
+    {
+        answer_wrongly(exchange);
+        return;
+    }
     std::string body = "answer of " + options_.id + " to " +
                        exchange->request().path_and_query();
     body.resize(std::max(body.size(), options_.min_answer_bytes), ' ');
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -15,12 +15,26 @@
 namespace standin
 {
 
+/// @brief What a target answers after it has run a request.
+enum class answer_fault : std::uint8_t
+{
+    none,
+    plain_503,        ///< 503 without a field that says that it did not run.
+    plain_421,        ///< 421 without such a field.
+    plain_429,        ///< 429 without such a field.
+    no_id,            ///< A rejection without the request's id.
+    other_id,         ///< A rejection of another request.
+    signed_rejection, ///< A rejection that is signed as the answer of a run.
+};
+
 /// @brief What a target does and how it fails.
 struct platform_target_options
 {
     std::string id;
     std::uint16_t port = 0; ///< 0: any free port.
     siskinflow::duration work = std::chrono::milliseconds(20);
+    /// As above, for paths that end with "long".
+    siskinflow::duration long_work = std::chrono::milliseconds(20);
     unsigned slots = 6;
     double cut_part = 0; ///< Fraction of answers truncated after the run.
     std::size_t min_answer_bytes = 0; ///< Shorter answers are filled up.
@@ -95,6 +109,30 @@
             std::chrono::duration<double>(std::stod(retry_after_)));
     }
 
+    /// @brief Sets what answers to further runs are.
+    void set_answer_fault(answer_fault fault)
+    {
+        answer_fault_ = fault;
+    }
+
+    siskinflow::duration work() const
+    {
+        return options_.work;
+    }
+
+    /// @brief Makes the target reject all requests, or take them again.
+    void set_full(bool full)
+    {
+        full_ = full;
+    }
+
+    /// @brief Makes the target another instance at the address of the one that
+    /// is registered, which answers 421, or the registered one again.
+    void set_replaced(bool replaced)
+    {
+        replaced_ = replaced;
+    }
+
     /// @brief Makes the target answer with a failure after each run, or not.
     void set_failing(bool failing)
     {
@@ -129,6 +167,7 @@
     siskinflow::net::http_headers
     answer_headers(const siskinflow::net::exchange_ptr& exchange) const;
     bool should_truncate_next();
+    void answer_wrongly(const siskinflow::net::exchange_ptr& exchange) const;
 
     siskinflow::net::event_loop& loop_;
     platform_target_options options_;
@@ -140,6 +179,9 @@
     double truncation_credit_ = 0;
     bool leaving_ = false;
     bool failing_ = false;
+    bool replaced_ = false;
+    bool full_ = false;
+    answer_fault answer_fault_ = answer_fault::none;
     std::string retry_after_;
     std::uint64_t arrivals_ = 0;
     std::function<void(const std::string&, bool)> on_arrival_;
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -155,9 +155,11 @@
 {
     json maps = route("maps", "idempotent");
     maps.update(extra);
+    json orders = route("orders", "non_idempotent");
+    orders["timeout"] = std::to_string(order_timeout_.count()) + "ms";
     const json document = {
         {"version", "r" + std::to_string(++version_)},
-        {"routes", table({maps, route("orders", "non_idempotent")})},
+        {"routes", table({maps, orders})},
         {"services", table({service("maps"), service("orders")})},
         {"limits",
          {{"max-header-bytes", 16384},
@@ -233,6 +235,7 @@
                                  : ports_[vm].requests};
     out.method = request.method;
     out.target = request.path;
+    out.body = request.body;
     out.timeout = request.patience + 500ms;
     out.fresh_connection = !request.kept_connection;
     out.headers.add("host", "site.example");
--- a/tests/lib/loopback_proxy.cpp
+++ b/tests/lib/loopback_proxy.cpp
@@ -46,6 +46,16 @@
         read();
     }
 
+    /// Writes bytes of its own, unless others are being written.
+    void inject(const std::string& bytes)
+    {
+        if (!stopped_ && !writing_)
+        {
+            error_code ignored;
+            boost::asio::write(to_, boost::asio::buffer(bytes), ignored);
+        }
+    }
+
     /// Reads and writes nothing more; the sockets stay open.
     void stop()
     {
@@ -98,10 +108,12 @@
             wait(cut_poll, bytes);
             return;
         }
+        writing_ = true;
         boost::asio::async_write(
             to_, boost::asio::buffer(part_.data(), bytes),
             [self = shared_from_this()](error_code failed, std::size_t)
             {
+                self->writing_ = false;
                 if (failed)
                 {
                     self->connection_.reset();
@@ -119,6 +131,7 @@
     std::array<char, part_bytes> part_{};
     std::shared_ptr<void> connection_;
     bool stopped_ = false;
+    bool writing_ = false;
 };
 
 struct connection
@@ -267,6 +280,21 @@
     impl_->for_each_open([](connection& open) { open.silence(); });
 }
 
+void loopback_proxy::inject(const std::string& bytes)
+{
+    boost::asio::post(impl_->context,
+                      [this, bytes]
+                      {
+                          for (const auto& entry : impl_->open)
+                          {
+                              if (const auto held = entry.lock())
+                              {
+                                  held->to_client->inject(bytes);
+                              }
+                          }
+                      });
+}
+
 void loopback_proxy::reset_open()
 {
     impl_->for_each_open([](connection& open) { open.reset(); });
--- a/tests/lib/processes.cpp
+++ b/tests/lib/processes.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <sys/file.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -40,6 +41,8 @@
     const pid_t pid = ::fork();
     if (pid == 0)
     {
+        // A failed assertion ends a test without destructors.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execv(path.c_str(), argv.data());
--- /dev/null
+++ b/tests/soak/caller_load.hpp
@@ -0,0 +1,127 @@
+/// @file
+/// @brief The callers of a soak.
+#pragma once
+
+#include "promise_checker.hpp"
+
+#include <random>
+
+namespace soak
+{
+
+/// @brief Sends lookups and orders without pause. Some callers leave, and those
+/// that were refused return to another VM.
+class caller_load
+{
+public:
+    caller_load(gateway_world& world, promise_checker& promises,
+                std::mt19937_64& random, std::size_t vms)
+        : world_(world), promises_(promises), random_(random), vms_(vms)
+    {
+    }
+
+    void start(std::chrono::milliseconds request_gap)
+    {
+        timer_ = world_.caller().loop().every(request_gap,
+                                              [this] { send(draw(), true); });
+    }
+
+    void stop()
+    {
+        timer_.reset();
+    }
+
+    bool idle() const
+    {
+        return running_.empty();
+    }
+
+    int served_in_a_row() const
+    {
+        return in_a_row_;
+    }
+
+    std::uint64_t sent() const
+    {
+        return number_;
+    }
+
+private:
+    static constexpr std::uint64_t orders_per_hundred = 50;
+    /// Orders that outlast the grace time of a stop, if they arrive late in it.
+    static constexpr std::uint64_t long_orders_per_hundred = 5;
+    static constexpr std::uint64_t bodies_per_hundred = 10;
+    static constexpr std::uint64_t leavers_per_hundred = 5;
+    static constexpr std::size_t longest_body = 60000;
+
+    bool chance(std::uint64_t per_hundred)
+    {
+        return random_() % 100 < per_hundred;
+    }
+
+    caller_request draw()
+    {
+        caller_request out;
+        const bool order = chance(orders_per_hundred);
+        const bool is_long = chance(long_orders_per_hundred);
+        out.id = (order ? "order-" : "look-") + std::to_string(++number_);
+        out.path = !order ? "/maps/1" : is_long ? "/orders/long" : "/orders/1";
+        out.method = order ? "POST" : "GET";
+        out.object = std::to_string(random_() % 20);
+        out.patience =
+            std::chrono::milliseconds(order && is_long ? 9000 : 2000);
+        out.kept_connection = chance(50);
+        if (order && chance(bodies_per_hundred))
+        {
+            out.body.assign(random_() % longest_body, 'b');
+        }
+        return out;
+    }
+
+    void send(const caller_request& request, bool returns)
+    {
+        const std::size_t vm = random_() % vms_;
+        const time_point sent = world_.caller().loop().now();
+        promises_.on_sent(request, vm, sent);
+        running_[request.id] = world_.send(
+            vm, request,
+            [this, vm, sent, request, returns](const net::fetch_result& got)
+            { on_answer(vm, sent, request, got, returns); });
+        if (chance(leavers_per_hundred))
+        {
+            const std::chrono::milliseconds patience(random_() % 600);
+            world_.caller().loop().after(patience, [this, id = request.id]
+                                         { running_.erase(id); });
+        }
+    }
+
+    void on_answer(std::size_t vm, time_point sent,
+                   const caller_request& request, const net::fetch_result& got,
+                   bool returns)
+    {
+        promises_.check(vm, sent, request, got);
+        const bool answered = got.outcome == net::call_outcome::complete;
+        const bool served = answered && got.response.status == 200;
+        in_a_row_ = served ? in_a_row_ + 1 : 0;
+        world_.caller().loop().post([this, id = request.id]
+                                    { running_.erase(id); });
+        if (answered && got.response.status == 503 && returns)
+        {
+            caller_request again = request;
+            again.id += "-again";
+            world_.caller().loop().after(std::chrono::milliseconds(200),
+                                         [this, again] { send(again, false); });
+        }
+    }
+
+    gateway_world& world_;
+    promise_checker& promises_;
+    std::mt19937_64& random_;
+    std::size_t vms_;
+    std::shared_ptr<void> timer_;
+    std::map<std::string, std::shared_ptr<net::http_call>> running_;
+    std::uint64_t number_ = 0;
+    int in_a_row_ = 0;
+};
+
+} // namespace soak
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -32,6 +32,7 @@
     std::string key = "key-of-acme";
     std::string id; ///< Drawn if empty.
     std::string object = "1";
+    std::string body;
     std::chrono::milliseconds patience{3000};
     bool kept_connection = false; ///< One that served an earlier request.
 };
@@ -173,6 +174,12 @@
         keys_ = std::move(keys);
     }
 
+    /// @brief Sets the timeout of orders from the next version on.
+    void set_order_timeout(std::chrono::milliseconds value)
+    {
+        order_timeout_ = value;
+    }
+
     /// @brief Replaces the store's address for gateways started from now on.
     void store_port(std::uint16_t port)
     {
@@ -212,6 +219,7 @@
     std::unique_ptr<loopback_proxy> store_link_;
     std::string gateway_program_ = "siskinflow_gateway";
     std::vector<std::string> keys_ = {"key-of-acme"};
+    std::chrono::milliseconds order_timeout_{3000};
     unsigned version_ = 0;
     unsigned last_request_ = 0;
 };
--- a/tests/support/loopback_proxy.hpp
+++ b/tests/support/loopback_proxy.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 /// @brief Direction of the bytes of a connection.
 enum class direction : std::uint8_t
@@ -41,6 +42,10 @@
     /// @brief Resets all open connections.
     void reset_open();
 
+    /// @brief Sends bytes that the server did not send to the client of each
+    /// open connection on which no other bytes are on their way.
+    void inject(const std::string& bytes);
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
