--- a/tests/unit/net_client_faults_test.cpp
+++ b/tests/unit/net_client_faults_test.cpp
@@ -7,6 +7,8 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -492,3 +494,86 @@
             fetch_response(loop, client, answer, close_mode::close);
         }));
 }
+
+// Guards against a call that counts as never sent although its request reaches
+// the server, now or later: its order would be sent again, or reported as not
+// run (TWICE, REFUSED). The call is cancelled, or meets its limit for the
+// connection, after any number of passes of the loop.
+Test(net_client_faults, an_unsent_call_reaches_no_server)
+{
+    constexpr int calls = 400;
+    constexpr unsigned max_passes = 5;
+    std::mt19937 random(20261205);
+    const auto one_in = [&random](unsigned n) { return random() % n == 0; };
+    boot_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    std::set<std::string> arrived;
+    const auto server =
+        http_server::listen(loop, {"127.0.0.1", 0}, {},
+                            [&](const exchange_ptr& exchange)
+                            {
+                                arrived.insert(exchange->request().path);
+                                exchange->respond({200, {}, "ok"});
+                            });
+    struct silent_observer final : call_observer
+    {
+        void on_head(int, const http_headers&,
+                     std::optional<std::size_t>) override
+        {
+        }
+        void on_body(std::string_view) override {}
+        void on_end(call_outcome outcome) override
+        {
+            ended = outcome;
+        }
+        std::optional<call_outcome> ended;
+    };
+    const auto run_for = [&](duration length)
+    {
+        const auto end = time.now() + length;
+        while (time.now() < end)
+        {
+            loop.run_once(1ms);
+        }
+    };
+    std::set<std::string> never_sent_paths;
+    std::size_t sent_paths = 0;
+    for (int i = 0; i < calls; ++i)
+    {
+        client_request request;
+        request.peer = {"127.0.0.1", server.value()->port()};
+        request.target = "/call-" + std::to_string(i);
+        request.fresh_connection = !one_in(3);
+        request.connect_timeout = one_in(5) ? duration(1us) : duration(1s);
+        const auto observer = std::make_shared<silent_observer>();
+        const auto call = client.start(request, observer);
+        const unsigned passes = random() % (max_passes + 1);
+        for (unsigned pass = 0; pass < passes; ++pass)
+        {
+            loop.run_once(0ms);
+        }
+        if (one_in(7))
+        {
+            // What is due by then is due in one pass.
+            std::this_thread::sleep_for(2ms);
+            loop.run_once(0ms);
+        }
+        const bool sent =
+            observer->ended ? !never_sent(*observer->ended) : call->sent();
+        call->cancel();
+        sent_paths += sent ? 1 : 0;
+        if (!sent)
+        {
+            never_sent_paths.insert(request.target);
+        }
+        run_for(one_in(4) ? 2ms : 0ms);
+    }
+    run_for(100ms);
+    EXPECT(sent_paths > 0);
+    EXPECT(never_sent_paths.size() > 10);
+    for (const std::string& path : never_sent_paths)
+    {
+        EXPECT(arrived.count(path) == 0);
+    }
+}
