Let a route that keeps its row repeat requests only if the new row says so

Callers would see: an order that runs twice (TWICE), once a configuration makes a route non-idempotent in a row of which another field can't be read. No deployment seen has such a row.

Cause: the row in force is kept in place of one that can't be read, with the kind that it had.

Change: row_problem tells whether the kind of the new row could be read and allows repeating; the kept row is idempotent only then.

gateway_records/keeps_rows_in_force failed before in the new section.

--- a/include/siskinflow/gateway/policy_rows.hpp
+++ b/include/siskinflow/gateway/policy_rows.hpp
@@ -47,6 +47,8 @@
     row_handling handling = row_handling::left_out;
     /// Keys that the row grants to an organisation, if they could be read.
     std::optional<std::vector<key_digest>> keys;
+    /// Whether the kind of a route's row could be read and allows repeating.
+    bool idempotent = false;
 };
 
 /// @brief A policy as it was read, with the rows that could not be read.
@@ -58,7 +60,8 @@
 
 /// @brief Replaces rows that could not be read by those in force.
 ///
-/// A route or service keeps its row. An organisation keeps its row with the
+/// A service keeps its row, and so does a route, whose requests may run more
+/// than once only if the new row says so too. An organisation keeps its row with the
 /// keys that the new row grants, and is left out if these could not be read, so
 /// that no withdrawn key stays in use.
 /// @param document the new policy; the handling of its problems is updated
--- a/src/gateway/policy_rows.cpp
+++ b/src/gateway/policy_rows.cpp
@@ -38,6 +38,18 @@
     return true;
 }
 
+bool keep_route(policy& next, const policy& in_force,
+                const row_problem& problem)
+{
+    if (!keep_row(next.routes, in_force.routes, problem.name))
+    {
+        return false;
+    }
+    route_policy& kept = next.routes.back();
+    kept.idempotent = kept.idempotent && problem.idempotent;
+    return true;
+}
+
 bool keep_organisation(policy& next, const policy& in_force,
                        const row_problem& problem)
 {
@@ -56,7 +68,7 @@
     switch (problem.table)
     {
     case policy_table::routes:
-        return keep_row(next.routes, in_force.routes, problem.name);
+        return keep_route(next, in_force, problem);
     case policy_table::services:
         return keep_row(next.services, in_force.services, problem.name);
     case policy_table::organisations:
--- a/tests/unit/gateway_records_test.cpp
+++ b/tests/unit/gateway_records_test.cpp
@@ -251,6 +251,21 @@
                 EXPECT(service.policy.services.back().warm_up_rate_per_s ==
                        7.4);
             });
+    section("a route that no longer allows repeating",
+            [&]
+            {
+                const auto kind_of_kept = [&](const json& kind)
+                {
+                    json next = with_field("routes", 0, "timeout", "soon");
+                    next["routes"]["rows"][0][column(next, "routes", "kind")] =
+                        kind;
+                    return completed(next).policy.routes.back().idempotent;
+                };
+                EXPECT(in_force.routes[0].idempotent);
+                EXPECT(kind_of_kept("idempotent"));
+                EXPECT(!kind_of_kept("non_idempotent"));
+                EXPECT(!kind_of_kept("new_kind"));
+            });
     section(
         "an organisation has only the keys of the new row",
         [&]
