Ignore the load and warm-up time in the answer of another target

Callers would see: requests that avoid a target which is warm, or go to one that is full, after its address answered as another instance.

The fields of an answer were applied to the target that the request was meant for also if another target answered (421), or another request's answer arrived.

Change: both are left out, as the target's wishes were already in a 421.

gateway_request_orders/a_foreign_answer_tells_nothing_about_a_target failed before in its second section.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -120,6 +120,7 @@
     if (answer_fields_.id != caller_fields_.id)
     {
         refuse_foreign_answer();
+        answer_fields_ = {};
         return;
     }
     if (answer_fields_.malformed_fields > 0)
@@ -238,6 +239,10 @@
 void request_flow::update_estimates(attempt_result result)
 {
     const time_point now = state_.now();
+    if (result == attempt_result::misdirected)
+    {
+        return; // Load and warm-up are those of another target.
+    }
     if (answer_fields_.load)
     {
         state_.targets.on_load(*target_, *answer_fields_.load, now);
--- a/tests/unit/gateway_request_orders_test.cpp
+++ b/tests/unit/gateway_request_orders_test.cpp
@@ -439,3 +439,40 @@
 {
     explore_all(true);
 }
+
+// Guards against a target that is held for cold or loaded because of an answer
+// that another target, or another request, has got.
+Test(gateway_request_orders, a_foreign_answer_tells_nothing_about_a_target)
+{
+    static world* const out = new world; // Its loop can't be destroyed.
+    world& w = *out;
+    const auto becomes_cold = [&](int status, net::http_headers headers)
+    {
+        w.begin(false, 1, true);
+        headers.add("siskinflow-warmup-remaining-ms", "5000");
+        const auto target = w.state().targets.find("orders-0");
+        w.open_call()->answer(status, headers, net::call_outcome::complete);
+        w.run();
+        return target->cold(w.time.now());
+    };
+    section("its own",
+            [&]
+            {
+                EXPECT(becomes_cold(
+                    503, {{"siskinflow-request-id", world::request_id},
+                          {"siskinflow-not-executed", "1"}}));
+            });
+    section("of another target at the address",
+            [&]
+            {
+                EXPECT(!becomes_cold(
+                    421, {{"siskinflow-request-id", world::request_id},
+                          {"siskinflow-instance-id", "other"}}));
+            });
+    section("to another request",
+            [&]
+            {
+                EXPECT(!becomes_cold(503, {{"siskinflow-request-id", "another"},
+                                           {"siskinflow-not-executed", "1"}}));
+            });
+}
