Repeat to the VMs of a failure domain that a target is leaving

Callers may see: requests of a VM that still reach a target which has told another VM of the failure domain that it leaves. The rule itself (DRAIN) binds only the VM that passed the answer on.

Cause: the VM told its neighbours once, those that it knew at that moment. A datagram may be lost, and while the store is silent a VM may know no other.

Change: it is repeated with each regular message for 30 s. The three loops that send to the VMs of the domain are one. The test prints the lines that name the target when it fails.

gateway_withdrawal/a_vm_that_is_listed_late_is_told failed before.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr duration timer_interval = std::chrono::milliseconds(100);
+/// Time for which a VM repeats that a target is leaving: datagrams are lost,
+/// and other VMs may be listed late, above all while the store is away.
+constexpr duration leaving_repeat_time = std::chrono::seconds(30);
 /// Demand below which an organisation without new requests is not reported.
 constexpr double min_reported_demand_per_s = 0.05;
 report_scope scope_of(const vm_record& record, const vm_record& self)
@@ -56,6 +59,7 @@
     if (now >= next_state_at_)
     {
         send_state();
+        repeat_leaving();
     }
     if (now >= next_domain_state_at_)
     {
@@ -171,7 +175,11 @@
 void peer_exchange::forward(domain_state message)
 {
     message.forwarded = true;
-    const std::string encoded = control::encode(self_, message);
+    send_to_domain(control::encode(self_, message));
+}
+
+void peer_exchange::send_to_domain(const std::string& encoded)
+{
     for (const net::endpoint& receiver : state_.peers.domain_peers())
     {
         socket_->send(receiver, encoded);
@@ -199,21 +207,25 @@
 {
     store_confirmation copy = message;
     copy.forwarded = true;
-    const std::string encoded = control::encode(self_, copy);
-    for (const net::endpoint& receiver : state_.peers.domain_peers())
-    {
-        socket_->send(receiver, encoded);
-    }
+    send_to_domain(control::encode(self_, copy));
 }
 
 void peer_exchange::send_leaving(const target_record& record)
 {
     const target_leaving message{record.id, record.started_at_ms,
                                  state_.settings.self.name};
-    const std::string encoded = control::encode(self_, message);
-    for (const net::endpoint& receiver : state_.peers.domain_peers())
+    send_to_domain(control::encode(self_, message));
+    repeated_.push_back({message, state_.now() + leaving_repeat_time});
+}
+
+void peer_exchange::repeat_leaving()
+{
+    const time_point now = state_.now();
+    std::erase_if(repeated_, [now](const repeated_leaving& entry)
+                  { return entry.until < now; });
+    for (const repeated_leaving& entry : repeated_)
     {
-        socket_->send(receiver, encoded);
+        send_to_domain(control::encode(self_, entry.message));
     }
 }
 
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -48,7 +48,8 @@
     void send_confirmation(const std::string& prefix,
                            const mirror_confirmation& confirmation);
 
-    /// @brief Tells the VMs of the failure domain that a target is leaving.
+    /// @brief Tells the VMs of the failure domain that a target is leaving, and
+    /// repeats it for a while.
     void send_leaving(const target_record& record);
 
     /// @brief Called with each confirmation that another VM has told.
@@ -81,6 +82,8 @@
     void apply(const store_confirmation& message, const incarnation_id& sender);
     void apply(const target_leaving& message, const incarnation_id& sender);
     void send_to_domain(const store_confirmation& message);
+    void send_to_domain(const std::string& encoded);
+    void repeat_leaving();
     void apply_usages(const std::vector<organisation_usage>& usages,
                       const report_source& source);
     std::vector<organisation_usage>
@@ -117,6 +120,13 @@
         time_point at;
     };
     std::unordered_map<std::string, heard_vm> heard_;
+    /// A target that was told to be leaving, and until when that is repeated.
+    struct repeated_leaving
+    {
+        target_leaving message;
+        time_point until;
+    };
+    std::vector<repeated_leaving> repeated_;
 };
 
 } // namespace siskinflow::gateway
--- a/tests/process/gateway_withdrawal_test.cpp
+++ b/tests/process/gateway_withdrawal_test.cpp
@@ -1,6 +1,9 @@
 #include "gateway_world.hpp"
 #include "test_sections.hpp"
 
+#include <iostream>
+#include <sstream>
+
 using namespace siskinflow;
 using namespace std::chrono_literals;
 using test_sections::section;
@@ -23,6 +26,23 @@
     return out;
 }
 
+/// Prints the lines of all VMs that name a target, to trace who sent to it.
+void print_lines_of(const gateway_world& world, std::size_t vms,
+                    const std::string& target)
+{
+    for (std::size_t vm = 0; vm < vms; ++vm)
+    {
+        std::istringstream log(world.log(vm));
+        for (std::string line; std::getline(log, line);)
+        {
+            if (line.find("target=" + target + " ") != std::string::npos)
+            {
+                std::cout << "vm" << vm << ' ' << line << '\n';
+            }
+        }
+    }
+}
+
 } // namespace
 
 // Guards against requests to a target that has said in an answer that it is
@@ -73,6 +93,10 @@
                 world.register_target("m1", "ready");
                 world.run_for(3s);
                 EXPECT(served(world, vms, 40) == 40);
+                if (targets[0]->arrivals() != told)
+                {
+                    print_lines_of(world, vms, "m1");
+                }
                 EXPECT(targets[0]->arrivals() == told);
             });
     section("another incarnation does",
@@ -87,6 +111,32 @@
             });
 }
 
+// Guards against a VM that is not told that a target is leaving, because it was
+// not listed yet when another VM of its failure domain got the answer.
+Test(gateway_withdrawal, a_vm_that_is_listed_late_is_told)
+{
+    constexpr std::chrono::milliseconds repeat_limit{5000};
+    gateway_world world(3); // The first and the last share a failure domain.
+    world.add_target("maps", named("m1")).set_leaving(true);
+    world.add_target("maps", named("m2"));
+    world.configure();
+    world.start(0);
+    EXPECT(world.until([&] { return world.readiness(0) == 200; }));
+    const auto is_told = [&](std::size_t vm)
+    {
+        return world.log(vm).find("name=target_withdrawn target=m1") !=
+               std::string::npos;
+    };
+    EXPECT(world.until(
+        [&]
+        {
+            served(world, 1, 10);
+            return is_told(0);
+        }));
+    world.start(2);
+    EXPECT(world.until([&] { return is_told(2); }, repeat_limit));
+}
+
 // Guards against requests to a target for the time for which it has asked for
 // none (BUDGET), and against callers that wait for it in vain.
 Test(gateway_withdrawal, a_target_asks_for_a_pause)
