--- a/include/siskinflow/gateway/policy_rows.hpp
+++ b/include/siskinflow/gateway/policy_rows.hpp
@@ -61,9 +61,9 @@
 /// @brief Replaces rows that could not be read by those in force.
 ///
 /// A service keeps its row, and so does a route, whose requests may run more
-/// than once only if the new row says so too. An organisation keeps its row with the
-/// keys that the new row grants, and is left out if these could not be read, so
-/// that no withdrawn key stays in use.
+/// than once only if the new row says so too. An organisation keeps its row
+/// with the keys that the new row grants, and is left out if these could not be
+/// read, so that no withdrawn key stays in use.
 /// @param document the new policy; the handling of its problems is updated
 /// @param in_force the policy in force, null if there is none
 void keep_rows_in_force(policy_document& document, const policy* in_force);
