--- a/tests/process/site_map_process_test.cpp
+++ b/tests/process/site_map_process_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <unistd.h>
 
 using namespace std::chrono_literals;
@@ -40,6 +41,9 @@
     const std::string query = client.empty() ? "" : "?client=" + client;
     const auto got = run.get(0, "/siskinflow/v1/lookup" + query);
     const json document = json::parse(got.response.body, nullptr, false);
+    std::cout << "lookup of '" << client
+              << "': " << siskinflow::net::name(got.outcome) << ' '
+              << got.response.body << std::endl;
     return document.is_object() && !document["vms"].empty()
                ? document["vms"][0]["vm"].get<std::string>()
                : "";
