Play each explored sequence once

The exploration played every sequence twice: once for the check of the end, and again to find out what can follow.

--- a/tests/unit/gateway_request_orders_test.cpp
+++ b/tests/unit/gateway_request_orders_test.cpp
@@ -1,7 +1,6 @@
 #include "request_flow_world.hpp"
 #include "test_sections.hpp"
 
-#include <array>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -265,9 +264,17 @@
     {
     }
 
+    /// Plays the steps so far, then each that can follow.
     void explore(std::size_t depth)
     {
-        const std::string broken = replay();
+        world& w = shared_world();
+        std::string broken = play(w);
+        const auto next = depth > 0 ? applicable(w) : applicable_events();
+        end(w);
+        if (broken.empty())
+        {
+            broken = checker_.check_end(w);
+        }
         if (!broken.empty())
         {
             ++broken_;
@@ -277,19 +284,6 @@
             }
             return;
         }
-        if (depth == 0)
-        {
-            return;
-        }
-        // What applies is found before the replays of the sequences below.
-        std::vector<const event*> next;
-        for (const event& entry : events_)
-        {
-            if (entry.applies(shared_world()))
-            {
-                next.push_back(&entry);
-            }
-        }
         for (const event* entry : next)
         {
             for (const bool pass : {true, false})
@@ -312,6 +306,8 @@
     }
 
 private:
+    using applicable_events = std::vector<const event*>;
+
     static constexpr std::size_t max_printed = 12;
 
     static world& shared_world()
@@ -320,24 +316,23 @@
         return *out;
     }
 
-    /// Plays the steps so far on a new request and then lets all time pass;
-    /// leaves the world in the state before that.
-    std::string replay()
+    applicable_events applicable(const world& w) const
     {
-        world& w = shared_world();
-        play(w);
-        end(w);
-        std::string broken = checker_.check_end(w);
-        if (broken.empty())
+        applicable_events out;
+        for (const event& entry : events_)
         {
-            broken = play(w);
+            if (entry.applies(w))
+            {
+                out.push_back(&entry);
+            }
         }
-        return broken;
+        return out;
     }
 
+    /// Plays the steps so far on a new request.
+    /// @return what was broken on the way; empty if nothing was
     std::string play(world& w)
     {
-        end(w);
         w.begin(idempotent_, targets_, pooled_);
         std::string broken;
         for (const step& entry : steps_)
@@ -359,12 +354,9 @@
         return broken;
     }
 
+    /// Lets all time pass.
     static void end(world& w)
     {
-        if (w.exchange == nullptr)
-        {
-            return;
-        }
         for (int i = 0; i < 4; ++i)
         {
             w.time.advance(3s);
--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -209,7 +209,6 @@
                            {"siskinflow-request-id", request_id},
                            {"siskinflow-request-deadline-ms", "2000"}};
         exchange = std::make_shared<recorded_exchange>(std::move(request));
-        arrived = time.now();
         std::make_shared<gateway::request_flow>(state(), exchange)->start();
     }
 
@@ -260,7 +259,6 @@
     played_caller caller;
     std::shared_ptr<recorded_exchange> exchange;
     std::string service_name;
-    time_point arrived;
 
 private:
     static gateway::gateway_settings settings()
