--- a/tests/lib/raw_target.cpp
+++ b/tests/lib/raw_target.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,27 @@
     return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
+/// Bytes of the request at the front: its head and its body.
+/// @return 0 if the head is incomplete
+std::size_t request_size(const std::string& received, std::size_t& head_size)
+{
+    const std::string head_end = "\r\n\r\n";
+    const auto end = received.find(head_end);
+    if (end == std::string::npos)
+    {
+        return 0;
+    }
+    head_size = end + head_end.size();
+    const std::string length =
+        field_value(received.substr(0, head_size), "content-length");
+    return head_size + (length.empty() ? 0 : std::stoul(length));
+}
+
+void send_all(int connection, const std::string& bytes)
+{
+    (void)::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
 } // namespace
 
 raw_target::raw_target(answerer answer)
@@ -58,6 +80,12 @@
     return found == runs_.end() ? 0 : found->second;
 }
 
+int raw_target::repeated_on_connection() const
+{
+    const std::lock_guard lock(mutex_);
+    return repeated_on_connection_;
+}
+
 void raw_target::accept_all()
 {
     for (;;)
@@ -68,16 +96,29 @@
             return;
         }
         connections_.push_back(connection);
-        workers_.emplace_back([this, connection] { serve(connection); });
+        workers_.emplace_back(
+            [this, connection, number = static_cast<int>(connections_.size())]
+            { serve(connection, number); });
     }
 }
 
-void raw_target::serve(int connection)
+raw_target::reply raw_target::handle(const request& arrived, bool repeated)
+{
+    reply out = answer_(arrived);
+    const std::lock_guard lock(mutex_);
+    runs_[arrived.id] += out.ran ? 1 : 0;
+    repeated_on_connection_ += repeated ? 1 : 0;
+    return out;
+}
+
+void raw_target::serve(int connection, int number)
 {
-    const std::string head_end = "\r\n\r\n";
     std::string received;
+    std::set<std::string> ids;
     char buffer[4096];
-    int number = 0;
+    request arrived;
+    arrived.port = port_;
+    arrived.connection = number;
     for (;;)
     {
         const auto count = ::recv(connection, buffer, sizeof(buffer), 0);
@@ -86,22 +127,24 @@
             break;
         }
         received.append(buffer, static_cast<std::size_t>(count));
-        const auto end = received.find(head_end);
-        if (end == std::string::npos)
+        std::size_t head_size = 0;
+        const std::size_t size = request_size(received, head_size);
+        if (size == 0 || received.size() < size)
         {
             continue;
         }
-        const std::string head = received.substr(0, end + 2);
-        received.erase(0, end + head_end.size());
-        const request arrived{field_value(head, "siskinflow-request-id"),
-                              field_value(head, "siskinflow-expected-instance"),
-                              ++number};
+        const std::string head = received.substr(0, head_size);
+        received.erase(0, size);
+        arrived.id = field_value(head, "siskinflow-request-id");
+        arrived.instance = field_value(head, "siskinflow-expected-instance");
+        ++arrived.number;
+        const reply chosen = handle(arrived, !ids.insert(arrived.id).second);
+        send_all(connection, chosen.bytes);
+        if (!chosen.late_bytes.empty())
         {
-            const std::lock_guard lock(mutex_);
-            ++runs_[arrived.id];
+            std::this_thread::sleep_for(chosen.late_after);
+            send_all(connection, chosen.late_bytes);
         }
-        const std::string bytes = answer_(arrived);
-        (void)::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
     ::shutdown(connection, SHUT_RDWR);
 }
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -3,6 +3,7 @@
 /// gives.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,8 +12,8 @@
 #include <thread>
 #include <vector>
 
-/// @brief Runs every request that arrives and sends the bytes that a test
-/// chooses. Requests must not have a body.
+/// @brief Reads requests, which may have a body with a length, and sends the
+/// bytes that a test chooses.
 class raw_target
 {
 public:
@@ -20,13 +21,31 @@
     struct request
     {
         std::string id;
-        std::string instance; ///< Target that it is meant for.
-        int number = 0;       ///< On its connection, from 1.
+        std::string instance;   ///< Target that it is meant for.
+        std::uint16_t port = 0; ///< Of the target.
+        int connection = 0;     ///< Number of its connection, from 1.
+        int number = 0;         ///< On its connection, from 1.
     };
 
-    /// @brief Gives the bytes to send for a request; called from a thread of
-    /// the target.
-    using answerer = std::function<std::string(const request&)>;
+    /// @brief What the target does with a request.
+    struct reply
+    {
+        /// @brief The request runs and is answered.
+        reply(std::string bytes_in, bool ran_in = true)
+            : bytes(std::move(bytes_in)), ran(ran_in)
+        {
+        }
+
+        std::string bytes;
+        bool ran; ///< False: it has not run and never will.
+        /// Sent on the connection after a while; nothing if empty.
+        std::string late_bytes;
+        std::chrono::milliseconds late_after{0};
+    };
+
+    /// @brief Decides what to do with a request; called from a thread of the
+    /// target.
+    using answerer = std::function<reply(const request&)>;
 
     explicit raw_target(answerer answer);
     ~raw_target();
@@ -41,15 +60,21 @@
     /// @brief How often a request has run.
     int runs(const std::string& id) const;
 
+    /// @brief Times that a request arrived on a connection on which it had
+    /// arrived before.
+    int repeated_on_connection() const;
+
 private:
     void accept_all();
-    void serve(int connection);
+    void serve(int connection, int number);
+    reply handle(const request& arrived, bool repeated);
 
     answerer answer_;
     int listener_ = -1;
     std::uint16_t port_ = 0;
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_; ///< By request id.
+    int repeated_on_connection_ = 0;
     std::vector<int> connections_;
     std::vector<std::jthread> workers_;
     std::jthread acceptor_;
