Give each client connection a history of its own

h2o's pool kept connections without saying which request went over which of them. A request can name an id; a connection carries an id once at most.

--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include <siskinflow/core/clock.hpp>
 #include <siskinflow/core/error.hpp>
+#include <siskinflow/net/answer_position.hpp>
 #include <siskinflow/net/endpoint.hpp>
 #include <siskinflow/net/event_loop.hpp>
 #include <siskinflow/net/http_types.hpp>
@@ -43,6 +44,9 @@
     std::string target = "/"; ///< Path and query.
     http_headers headers;     ///< Without framing and `host`.
     std::string body;
+    /// Identifies the request to the peer: a connection carries it once at
+    /// most. Empty: any connection may carry the request.
+    std::string id;
     bool fresh_connection = false; ///< Open a new connection for this call.
     /// Bytes after which the body is cut and the call ends as `truncated`; 0
     /// sets no limit.
@@ -69,6 +73,13 @@
     /// @brief A part of the body has arrived.
     virtual void on_body(std::string_view part) = 0;
 
+    /// @brief Whether the connection may serve another request after this
+    /// answer, which is complete. It is closed otherwise.
+    virtual bool keeps_connection() const
+    {
+        return true;
+    }
+
     /// @brief The call has ended; called once, unless `cancel` was called.
     virtual void on_end(call_outcome outcome) = 0;
 };
@@ -90,6 +101,13 @@
 
     /// @brief Whether the connection was established.
     virtual bool sent() const = 0;
+
+    /// @brief Where the answer was read.
+    /// @return a position that is not conclusive before the head has arrived
+    virtual answer_position position() const
+    {
+        return {};
+    }
 };
 
 /// @brief Makes HTTP calls.
