Log where the answer of each attempt was read

'answers' lists connection, local port and number of the answer for each attempt; the port leads to the target's own log.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -290,6 +290,7 @@
     attempts_log_ += (attempts_log_.empty() ? "" : ",") + id + ":" +
                      std::string(gateway::name(result)) + ":" +
                      std::to_string(to_ms(now - sent_));
+    log_position(call_->position());
     attempts_.on_ended(result, call_->sent());
     call_.reset();
     state_.loop.cancel(attempt_timer_);
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -193,6 +193,19 @@
     return proof ? gateway::name(proof->reason()) : "none";
 }
 
+/// Adds where the answer of an attempt was read: the connection's number and
+/// local port, and the answer's number on it; "none" without an answer.
+void request_flow::log_position(const net::answer_position& position)
+{
+    answers_log_ += answers_log_.empty() ? "" : ",";
+    answers_log_ += position.connection == 0
+                        ? "none"
+                        : std::to_string(position.connection) + ":" +
+                              std::to_string(position.local_port) + ":" +
+                              std::to_string(position.answer) +
+                              (position.id_repeated ? ":repeated" : "");
+}
+
 duration request_flow::elapsed() const
 {
     return state_.now() - arrived_;
@@ -218,6 +231,7 @@
                       {"status", status},
                       {"policy", policy_->document().version},
                       {"steps", attempts_log_},
+                      {"answers", answers_log_},
                       {"load", load_at_send_},
                       {"expected_ms", to_ms(placement_.expected)},
                       {"objective_ms", to_ms(route_->objective)}});
@@ -237,6 +251,7 @@
                       {"target", choice.chosen->record().id},
                       {"proof", proof_name()},
                       {"steps", attempts_log_},
+                      {"answers", answers_log_},
                       {"policy", policy_->document().version}});
 }
 
@@ -264,6 +279,7 @@
          {"waited_ms", to_ms(waited_)},
          {"total_ms", to_ms(elapsed())},
          {"steps", attempts_log_},
+         {"answers", answers_log_},
          {"proof", proof_name()},
          {"retry_after_ms", retry_after ? to_ms(*retry_after) : 0},
          {"policy", policy_ == nullptr ? 0 : policy_->document().version},
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -101,6 +101,7 @@
     void answer(int status, std::string_view reason,
                 std::optional<duration> retry_after);
     void finish();
+    void log_position(const net::answer_position& position);
     void log_served(int status);
     void log_sent_again(const target_choice& choice);
     void log_not_served(int status, std::string_view reason,
@@ -135,6 +136,7 @@
     time_point sent_;
     std::vector<std::string> tried_targets_;
     std::string attempts_log_; ///< Attempts so far, for the log.
+    std::string answers_log_;  ///< Where their answers were read.
     attempt_history attempts_;
 
     int status_ = 0;
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -49,14 +49,15 @@
 constexpr std::string_view map_failed_fields[] = {"revision", "reason"};
 
 constexpr std::string_view served_fields[] = {
-    "request", "route",    "organisation", "service",     "target", "object",
-    "rank",    "attempts", "waited_ms",    "total_ms",    "status", "policy",
-    "steps",   "load",     "expected_ms",  "objective_ms"};
+    "request",     "route",       "organisation", "service",   "target",
+    "object",      "rank",        "attempts",     "waited_ms", "total_ms",
+    "status",      "policy",      "steps",        "answers",   "load",
+    "expected_ms", "objective_ms"};
 constexpr std::string_view not_served_fields[] = {
-    "request",        "route",    "organisation",  "service",  "reason",
-    "status",         "attempts", "waited_ms",     "total_ms", "steps",
-    "proof",          "policy",   "policy_age_ms", "waiting",  "targets",
-    "retry_after_ms", "share",    "left_ms"};
+    "request", "route",          "organisation", "service",       "reason",
+    "status",  "attempts",       "waited_ms",    "total_ms",      "steps",
+    "answers", "proof",          "policy",       "policy_age_ms", "waiting",
+    "targets", "retry_after_ms", "share",        "left_ms"};
 constexpr std::string_view registration_fields[] = {
     "target", "service", "change", "failure_domain", "revision", "warm_up_ms"};
 constexpr std::string_view registration_refused_fields[] = {"item", "revision",
@@ -80,7 +81,7 @@
     "target", "service", "reason", "for_ms", "told_by"};
 constexpr std::string_view target_wanted_again_fields[] = {"target", "service"};
 constexpr std::string_view order_sent_again_fields[] = {
-    "request", "route", "target", "proof", "steps", "policy"};
+    "request", "route", "target", "proof", "steps", "answers", "policy"};
 constexpr std::string_view foreign_answer_fields[] = {
     "request", "target", "answer_to", "status", "says_not_run"};
 
