Close connections that may carry copies of a refusal, and rest proofs on them

Callers were told 503 for orders that had run, and orders ran at two targets: a copy of a refusal, which targets may send late on the same connection, was taken for the answer to a request that was under way.

Cause: an answer was believed for what it says, without regard to what its connection had carried. The id tells nothing if the connection has carried the same id before (entries of one address, a caller that repeats an id), and nothing if a copy is cut in its head and runs into the next answer, whose id it then seems to bear.

A connection to a target now serves another request only after an answer that served one: after a refusal, a failure, a foreign or broken answer it is closed, so that no copy of a refusal can be read on a connection in use. An id goes over a connection once at most, whoever sends it. A proof that rests on an answer names the position of the answer, and without a conclusive one there is no proof.

--- a/include/siskinflow/gateway/attempt_history.hpp
+++ b/include/siskinflow/gateway/attempt_history.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <siskinflow/gateway/attempt_result.hpp>
+#include <siskinflow/net/answer_position.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -33,11 +34,22 @@
         return reason_;
     }
 
+    /// @brief Where the answer was read on which the proof rests; not
+    /// conclusive if it rests on no answer.
+    const net::answer_position& position() const
+    {
+        return position_;
+    }
+
 private:
     friend class attempt_history;
-    explicit not_run_proof(not_run_reason reason) : reason_(reason) {}
+    not_run_proof(not_run_reason reason, const net::answer_position& position)
+        : reason_(reason), position_(position)
+    {
+    }
 
     not_run_reason reason_;
+    net::answer_position position_;
 };
 
 /// @brief Permission to send a request to a target: it has not run, or may run
@@ -60,7 +72,10 @@
     /// @param result how it ended
     /// @param written whether its connection was established, so that bytes of
     /// the request may have reached the target
-    void on_ended(attempt_result result, bool written);
+    /// @param position where its answer was read; an answer proves nothing
+    /// unless this is conclusive
+    void on_ended(attempt_result result, bool written,
+                  const net::answer_position& position);
 
     /// @brief Proof that the request has not run and never will.
     /// @return nothing if an attempt is in progress or may have run
@@ -79,7 +94,7 @@
     }
 
 private:
-    not_run_reason last_reason_ = not_run_reason::never_sent;
+    not_run_proof last_proof_{not_run_reason::never_sent, {}};
     unsigned possible_runs_ = 0;
     bool in_progress_ = false;
 };
--- a/src/gateway/attempt_history.cpp
+++ b/src/gateway/attempt_history.cpp
@@ -16,12 +16,17 @@
     "never_sent", "not_written", "rejected", "misdirected"};
 
 /// What the end of an attempt proves; nothing if it may have run.
-std::optional<not_run_reason> proof_of(attempt_result result, bool written)
+std::optional<not_run_reason> proof_of(attempt_result result, bool written,
+                                       const net::answer_position& position)
 {
     if (!written)
     {
         return not_run_reason::not_written;
     }
+    if (!position.conclusive())
+    {
+        return std::nullopt;
+    }
     switch (result)
     {
     case attempt_result::rejected:
@@ -52,12 +57,13 @@
     in_progress_ = true;
 }
 
-void attempt_history::on_ended(attempt_result result, bool written)
+void attempt_history::on_ended(attempt_result result, bool written,
+                               const net::answer_position& position)
 {
     in_progress_ = false;
-    if (const auto reason = proof_of(result, written))
+    if (const auto reason = proof_of(result, written, position))
     {
-        last_reason_ = *reason;
+        last_proof_ = not_run_proof(*reason, position);
         return;
     }
     ++possible_runs_;
@@ -69,7 +75,7 @@
     {
         return std::nullopt;
     }
-    return not_run_proof(last_reason_);
+    return last_proof_;
 }
 
 std::optional<send_permission> attempt_history::may_send(bool idempotent) const
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -71,6 +71,7 @@
     out.headers = state_.protocol.target_request_headers(
         caller_request, {record.id, organisation_name(), remaining().deadline});
     out.body = std::string(caller_request.body);
+    out.id = caller_fields_.id;
     out.connect_timeout =
         state_.targets.distance_to(*choice.chosen) == distance::other_region
             ? connect_timeout_other_region
@@ -196,6 +197,16 @@
     body_.append(part);
 }
 
+/// Copies of an answer may follow it on its connection, whole or cut so that
+/// they run into the next head. Those of a request that was served can't pass
+/// for a refusal.
+bool request_flow::keeps_connection() const
+{
+    return !answer_fields_.not_run &&
+           classify_outcome(net::call_outcome::complete) ==
+               attempt_result::answered;
+}
+
 attempt_result request_flow::classify_outcome(net::call_outcome outcome) const
 {
     switch (outcome)
@@ -291,7 +302,7 @@
                      std::string(gateway::name(result)) + ":" +
                      std::to_string(to_ms(now - sent_));
     log_position(call_->position());
-    attempts_.on_ended(result, call_->sent());
+    attempts_.on_ended(result, call_->sent(), call_->position());
     call_.reset();
     state_.loop.cancel(attempt_timer_);
 }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -53,6 +53,7 @@
     void on_head(int status, const net::http_headers& headers,
                  std::optional<std::size_t> content_length) override;
     void on_body(std::string_view part) override;
+    bool keeps_connection() const override;
     void on_end(net::call_outcome outcome) override;
 
 private:
--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -40,6 +40,13 @@
         return sent && !truly_rejected;
     }
 
+    /// @brief Each call has a connection of its own.
+    net::answer_position position() const
+    {
+        return head_received ? net::answer_position{1, 1, 1, false}
+                             : net::answer_position{};
+    }
+
     std::string target() const
     {
         return std::string(
@@ -111,6 +118,10 @@
         {
             return call_->sent;
         }
+        net::answer_position position() const override
+        {
+            return call_->position();
+        }
 
     private:
         std::shared_ptr<played_call> call_;
