Share the attempts of an order among the requests of its id

A caller that sent an order again under its id, at once or after its answer, had it run twice; a refusal of the one promised what the other broke.

gateway_copies/a_caller_sends_an_order_twice failed on the gateway before this commit (the order ran twice).

--- a/include/siskinflow/gateway/attempt_history.hpp
+++ b/include/siskinflow/gateway/attempt_history.hpp
@@ -61,7 +61,7 @@
     send_permission() = default;
 };
 
-/// @brief The attempts of one request.
+/// @brief The attempts of one request id.
 class attempt_history
 {
 public:
@@ -81,10 +81,20 @@
     /// @return nothing if an attempt is in progress or may have run
     std::optional<not_run_proof> not_run() const;
 
+    /// @brief As `not_run`, for an answer that tells the caller. Nothing can be
+    /// sent after that.
+    std::optional<not_run_proof> report_not_run();
+
+    /// @brief Whether a caller was told that the request has not run.
+    bool reported_not_run() const
+    {
+        return reported_not_run_;
+    }
+
     /// @brief Permission for a further attempt.
     /// @param idempotent whether the request may run more than once
-    /// @return nothing if the request might then run twice and must not, or if
-    /// an attempt is in progress
+    /// @return nothing if the request might then run twice and must not, if an
+    /// attempt is in progress, or if the caller was told that it has not run
     std::optional<send_permission> may_send(bool idempotent) const;
 
     /// @brief Attempts that have ended and may have run.
@@ -97,6 +107,7 @@
     not_run_proof last_proof_{not_run_reason::never_sent, {}};
     unsigned possible_runs_ = 0;
     bool in_progress_ = false;
+    bool reported_not_run_ = false;
 };
 
 } // namespace siskinflow::gateway
--- a/src/gateway/attempt_history.cpp
+++ b/src/gateway/attempt_history.cpp
@@ -78,9 +78,17 @@
     return last_proof_;
 }
 
+std::optional<not_run_proof> attempt_history::report_not_run()
+{
+    const auto proof = not_run();
+    reported_not_run_ = proof.has_value();
+    return proof;
+}
+
 std::optional<send_permission> attempt_history::may_send(bool idempotent) const
 {
-    if (in_progress_ || (possible_runs_ > 0 && !idempotent))
+    if (in_progress_ || reported_not_run_ ||
+        (possible_runs_ > 0 && !idempotent))
     {
         return std::nullopt;
     }
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include <siskinflow/gateway/gateway_settings.hpp>
 #include <siskinflow/gateway/key_acceptance.hpp>
 #include <siskinflow/gateway/message_codec.hpp>
+#include <siskinflow/gateway/order_histories.hpp>
 #include <siskinflow/gateway/peers.hpp>
 #include <siskinflow/gateway/planned_stop.hpp>
 #include <siskinflow/gateway/policy.hpp>
@@ -61,6 +62,7 @@
     /// Organisations with a rate limit, by their number in peer messages.
     std::unordered_map<std::uint32_t, std::string> organisation_by_number;
     std::unordered_set<std::shared_ptr<request_flow>> in_progress;
+    order_histories orders;
     std::optional<planned_stop> stop; ///< Empty until a stop is requested.
     bool had_requests = false;        ///< Whether a request has been admitted.
     time_point started_at;
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -15,7 +15,7 @@
     constexpr int expected_time_factor = 3;
     constexpr duration min_time_limit = std::chrono::milliseconds(700);
     if (!route_->idempotent ||
-        attempts_.possible_runs() + 1 >= route_->max_attempts)
+        attempts_->possible_runs() + 1 >= route_->max_attempts)
     {
         return;
     }
@@ -88,7 +88,7 @@
     {
         log_sent_again(choice);
     }
-    attempts_.on_started(permission);
+    attempts_->on_started(permission);
     target_ = choice.chosen;
     placement_ = choice.place;
     load_at_send_ =
@@ -302,7 +302,7 @@
                      std::string(gateway::name(result)) + ":" +
                      std::to_string(to_ms(now - sent_));
     log_position(call_->position());
-    attempts_.on_ended(result, call_->sent(), call_->position());
+    attempts_->on_ended(result, call_->sent(), call_->position());
     call_.reset();
     state_.loop.cancel(attempt_timer_);
 }
@@ -314,7 +314,7 @@
     /// Rejections allowed for one request in addition to the attempts that ran.
     constexpr unsigned max_rejections = 2;
     const work_time work = state_.work(*route_, service_).current();
-    return attempts_.possible_runs() < route_->max_attempts &&
+    return attempts_->possible_runs() < route_->max_attempts &&
            tried_targets_.size() < route_->max_attempts + max_rejections &&
            remaining().deadline > work.warm &&
            state_.retries(service_).try_take();
@@ -322,7 +322,7 @@
 
 void request_flow::retry_or_end(attempt_result result)
 {
-    if (attempts_.may_send(route_->idempotent) && take_retry())
+    if (attempts_->may_send(route_->idempotent) && take_retry())
     {
         state_.metric_set.counter(metric_id::retries, {gateway::name(result)})
             .add();
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -16,9 +16,9 @@
 /// The retry-after time is at most the caller's remaining time divided by this.
 constexpr int retry_after_divisor = 3;
 
-constexpr std::array<std::string_view, 5> failure_names = {
-    "connection_lost", "bad_answer", "target_failed", "timed_out",
-    "cut_by_stop"};
+constexpr std::array<std::string_view, 6> failure_names = {
+    "connection_lost", "bad_answer",  "target_failed",
+    "timed_out",       "cut_by_stop", "sent_before"};
 
 } // namespace
 
@@ -113,7 +113,7 @@
 void request_flow::end_unserved(refusal_reason refusal, failure_reason failure,
                                 std::optional<duration> retry_after)
 {
-    if (const auto proof = attempts_.not_run())
+    if (const auto proof = attempts_->report_not_run())
     {
         refuse(*proof, refusal, retry_after);
         return;
@@ -189,7 +189,7 @@
 /// Why the request has certainly not run; "none" if it may have.
 std::string_view request_flow::proof_name() const
 {
-    const auto proof = attempts_.not_run();
+    const auto proof = attempts_->not_run();
     return proof ? gateway::name(proof->reason()) : "none";
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -100,6 +100,10 @@
     {
         return refusal_reason::unknown_route;
     }
+    if (!route_->idempotent)
+    {
+        attempts_ = state_.orders.open(caller_fields_.id, arrived_);
+    }
     if (const auto refused = check_organisation())
     {
         return refused;
@@ -218,10 +222,11 @@
 
 void request_flow::place()
 {
-    const auto permission = attempts_.may_send(route_->idempotent);
+    const auto permission = attempts_->may_send(route_->idempotent);
     if (!permission)
     {
-        fail_with(failure_reason::target_failed);
+        end_unserved(refusal_reason::target_refused,
+                     failure_reason::sent_before, std::nullopt);
         return;
     }
     const choice_outcome outcome = choose();
@@ -294,7 +299,7 @@
 
 bool request_flow::place_waiting()
 {
-    const auto permission = attempts_.may_send(route_->idempotent);
+    const auto permission = attempts_->may_send(route_->idempotent);
     const choice_outcome outcome = choose();
     if (!permission || !outcome.choice)
     {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -24,6 +24,7 @@
                    ///< forwarded.
     timed_out,     ///< No answer within the timeout of route or caller.
     cut_by_stop,   ///< The process stopped first.
+    sent_before,   ///< An order of this id may have run, or is in progress.
 };
 
 std::string_view name(failure_reason value) noexcept;
@@ -138,7 +139,9 @@
     std::vector<std::string> tried_targets_;
     std::string attempts_log_; ///< Attempts so far, for the log.
     std::string answers_log_;  ///< Where their answers were read.
-    attempt_history attempts_;
+    /// Shared with the other requests of its id if it must not run twice.
+    std::shared_ptr<attempt_history> attempts_ =
+        std::make_shared<attempt_history>();
 
     int status_ = 0;
     net::http_headers headers_;
--- a/tests/process/gateway_copies_test.cpp
+++ b/tests/process/gateway_copies_test.cpp
@@ -2,6 +2,7 @@
 #include "raw_target.hpp"
 #include "test_sections.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -306,3 +307,33 @@
     EXPECT(fleet.broken_orders(order_count, 50ms) == none_broken);
     EXPECT(refusals.count() > 3);
 }
+
+// Guards against an order that runs twice, or is reported as not run while it
+// runs, because its caller sends it again under its id (TWICE, REFUSED).
+Test(gateway_copies, a_caller_sends_an_order_twice)
+{
+    gateway_world world(1);
+    auto slow = named("o1");
+    slow.work = 400ms;
+    world.add_target("orders", slow);
+    world.add_target("orders", named("o2"));
+    world.configure();
+    EXPECT(world.start_all());
+    const auto is_served_once =
+        [&](const std::string& id, std::chrono::milliseconds gap)
+    {
+        std::vector<int> statuses;
+        const auto note = [&](const net::fetch_result& got)
+        { statuses.push_back(got.response.status); };
+        const auto first = world.send(0, order(id), note);
+        world.run_for(gap);
+        const auto second = world.send(0, order(id), note);
+        EXPECT(world.until([&] { return statuses.size() == 2; }));
+        EXPECT(world.runs(id) == 1);
+        std::sort(statuses.begin(), statuses.end());
+        EXPECT(statuses == std::vector({200, 502}));
+    };
+    section("at once", [&] { is_served_once("at-once", 0ms); });
+    section("while it runs", [&] { is_served_once("running", 10ms); });
+    section("after its answer", [&] { is_served_once("answered", 700ms); });
+}
