Look up names of enum values in one place

The lookup "index, bounds check, unknown" stood in nine sources of telemetry, entry, control, permit, admission, report and routing, once as a template of its own (permit_table) and in routing as `at`. It is now `enum_name` in siskinflow/core/enum_name.hpp, used by 15 `name` functions.

Results are the same for every defined value and, outside routing, for undefined ones. In routing, `at` in a noexcept function ended the process on an undefined value; the name is now "unknown" as in the other modules.

Left as they are: names by `switch` (budget, config, fleet, entry/answers), where the compiler checks for missing values, `metric_kind` with "untyped", and `refusal_reason`, whose table holds more than names.

--- a/src/admission/refusal.cpp
+++ b/src/admission/refusal.cpp
@@ -1,4 +1,5 @@
 #include <siskinflow/admission/refusal.hpp>
+#include <siskinflow/core/enum_name.hpp>
 
 #include <array>
 
@@ -86,8 +87,7 @@
     static constexpr std::array<std::string_view, retry_reason_count> names = {
         "connect_failed", "connection_lost", "attempt_timeout", "target_error",
         "not_run_status"};
-    const auto index = static_cast<std::size_t>(reason);
-    return index < names.size() ? names[index] : "unknown";
+    return enum_name(names, reason);
 }
 
 } // namespace siskinflow
--- a/src/control/message_type.cpp
+++ b/src/control/message_type.cpp
@@ -1,4 +1,5 @@
 #include <siskinflow/control/message_type.hpp>
+#include <siskinflow/core/enum_name.hpp>
 
 #include <array>
 
@@ -15,8 +16,7 @@
         "acknowledgement", "counters_request",   "counters_bundle",
         "peer_state",      "domain_state",       "store_changes_request",
         "store_changes",   "store_confirmation", "target_leaving"};
-    const auto index = static_cast<std::size_t>(type);
-    return index < names.size() ? names[index] : names[0];
+    return enum_name(names, type);
 }
 
 } // namespace siskinflow::control
--- a/src/entry/vm_lifecycle.cpp
+++ b/src/entry/vm_lifecycle.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/entry/vm_lifecycle.hpp>
 
 #include <array>
@@ -18,14 +19,12 @@
 
 std::string_view name(lifecycle_state state) noexcept
 {
-    const auto index = static_cast<std::size_t>(state);
-    return index < state_names.size() ? state_names[index] : "unknown";
+    return enum_name(state_names, state);
 }
 
 std::string_view name(lifecycle_event event) noexcept
 {
-    const auto index = static_cast<std::size_t>(event);
-    return index < event_names.size() ? event_names[index] : "unknown";
+    return enum_name(event_names, event);
 }
 
 vm_lifecycle::vm_lifecycle()
--- a/src/permit/permit_messages.cpp
+++ b/src/permit/permit_messages.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/permit/permit_messages.hpp>
 
 #include <array>
@@ -9,8 +10,7 @@
 {
     static constexpr std::array<std::string_view, 6> names = {
         "unknown", "not_run", "ran", "unknown", "in_progress", "invalid"};
-    const auto index = static_cast<std::size_t>(verdict);
-    return index < names.size() ? names[index] : names[0];
+    return enum_name(names, verdict);
 }
 
 std::uint64_t permit_digest(std::string_view text,
--- a/src/permit/permit_table.cpp
+++ b/src/permit/permit_table.cpp
@@ -1,4 +1,5 @@
 #include "void_set.hpp"
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/core/state_chart.hpp>
 #include <siskinflow/permit/permit_table.hpp>
 
@@ -21,13 +22,6 @@
 constexpr std::array<std::string_view, 6> event_names = {
     "enqueue", "refuse", "dispatch", "complete", "lose", "not_started"};
 
-template <std::size_t size>
-std::string_view name_at(const std::array<std::string_view, size>& names,
-                         std::size_t index)
-{
-    return index < size ? names[index] : std::string_view("unknown");
-}
-
 state_chart load_chart()
 {
     auto chart = state_chart::parse(chart_text("permit"),
@@ -61,12 +55,12 @@
 
 std::string_view name(permit_state state) noexcept
 {
-    return name_at(state_names, static_cast<std::size_t>(state));
+    return enum_name(state_names, state);
 }
 
 std::string_view name(permit_event event) noexcept
 {
-    return name_at(event_names, static_cast<std::size_t>(event));
+    return enum_name(event_names, event);
 }
 
 std::string_view name(permit_disposition disposition) noexcept
@@ -74,7 +68,7 @@
     static constexpr std::array<std::string_view, 8> names = {
         "proceed", "wait_for_first", "already_ran", "unknown",
         "voided",  "expired",        "invalid",     "foreign"};
-    return name_at(names, static_cast<std::size_t>(disposition));
+    return enum_name(names, disposition);
 }
 
 struct permit_table::impl
--- a/src/report/final_report.cpp
+++ b/src/report/final_report.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/report/final_report.hpp>
 
 #include <nlohmann/json.hpp>
@@ -237,8 +238,7 @@
 {
     static constexpr std::array<std::string_view, 3> names = {
         "exact", "bounded", "unknown"};
-    const auto index = static_cast<std::size_t>(status);
-    return index < names.size() ? names[index] : "unknown";
+    return enum_name(names, status);
 }
 
 final_report build_report(const report_input& input)
--- a/src/routing/target_health.cpp
+++ b/src/routing/target_health.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/core/state_chart.hpp>
 #include <siskinflow/routing/target_health.hpp>
 
@@ -145,14 +146,14 @@
 {
     static constexpr std::array<std::string_view, 3> names{"healthy", "ejected",
                                                            "probing"};
-    return names.at(static_cast<std::size_t>(state));
+    return enum_name(names, state);
 }
 
 std::string_view name(health_event event) noexcept
 {
     static constexpr std::array<std::string_view, 5> names{
         "eject", "probe", "succeed", "fail", "reset"};
-    return names.at(static_cast<std::size_t>(event));
+    return enum_name(names, event);
 }
 
 std::string_view name(health_reason reason) noexcept
@@ -161,14 +162,14 @@
         "consecutive_failures", "error_rate", "latency",
         "unreachable",          "probe_sent", "probe_succeeded",
         "probe_failed",         "probe_lost", "ejection_limit"};
-    return names.at(static_cast<std::size_t>(reason));
+    return enum_name(names, reason);
 }
 
 std::string_view name(attempt_outcome outcome) noexcept
 {
     static constexpr std::array<std::string_view, 5> names{
         "success", "failure", "timed_out", "shed", "cancelled"};
-    return names.at(static_cast<std::size_t>(outcome));
+    return enum_name(names, outcome);
 }
 
 struct target_health::impl
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/core/ids.hpp>
 #include <siskinflow/routing/target_selector.hpp>
 
@@ -76,7 +77,7 @@
 {
     static constexpr std::array<std::string_view, 4> names{
         "no_target", "region_at_capacity", "link_at_capacity", "shift_capped"};
-    return names.at(static_cast<std::size_t>(refusal));
+    return enum_name(names, refusal);
 }
 
 std::uint32_t subset_size(std::uint32_t targets, std::uint32_t max_connections,
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/telemetry/event_id.hpp>
 
 #include <algorithm>
@@ -180,8 +181,7 @@
 {
     static constexpr std::array<std::string_view, 3> names = {"info", "warning",
                                                               "error"};
-    const auto index = static_cast<std::size_t>(level);
-    return index < names.size() ? names[index] : "unknown";
+    return enum_name(names, level);
 }
 
 std::span<const event_info> event_table() noexcept
