Send messages of the peer exchange through one loop

The loop that sends an encoded message to each receiver stood three times (send_in_parts, send_confirmation, send_to_domain), marking a message as forwarded twice (forward, send_to_domain for a confirmation), and each caller encoded its message itself (forward, send_to_domain, send_leaving, repeat_leaving). Now `send` has the loop, `send_to_domain` encodes a message for the VMs of the failure domain, and `forward` marks it. The datagrams and their order are the same.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "message_parts.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinflow::gateway
 {
@@ -165,27 +166,34 @@
 {
     for (const std::string& part : encode_parts(self_, message, usages))
     {
-        for (const net::endpoint& receiver : receivers)
-        {
-            socket_->send(receiver, part);
-        }
+        send(part, receivers);
     }
 }
 
-void peer_exchange::forward(domain_state message)
-{
-    message.forwarded = true;
-    send_to_domain(control::encode(self_, message));
-}
-
-void peer_exchange::send_to_domain(const std::string& encoded)
+void peer_exchange::send(const std::string& encoded,
+                         const std::vector<net::endpoint>& receivers)
 {
-    for (const net::endpoint& receiver : state_.peers.domain_peers())
+    for (const net::endpoint& receiver : receivers)
     {
         socket_->send(receiver, encoded);
     }
 }
 
+template <class Message>
+void peer_exchange::send_to_domain(const Message& message)
+{
+    send(control::encode(self_, message), state_.peers.domain_peers());
+}
+
+/// Sends a message to the failure domain, marked so that no receiver forwards
+/// it again.
+template <class Message>
+void peer_exchange::forward(Message message)
+{
+    message.forwarded = true;
+    send_to_domain(message);
+}
+
 void peer_exchange::send_confirmation(const std::string& prefix,
                                       const mirror_confirmation& confirmation)
 {
@@ -194,27 +202,16 @@
     message.prefix = prefix;
     message.last_change = confirmation.last_change;
     message.age_ms = static_cast<std::uint32_t>(to_ms(now - confirmation.at));
-    const std::string encoded = control::encode(self_, message);
-    for (const net::endpoint& receiver :
-         state_.peers.domain_contacts(++confirmation_round_, now))
-    {
-        socket_->send(receiver, encoded);
-    }
-    send_to_domain(message);
-}
-
-void peer_exchange::send_to_domain(const store_confirmation& message)
-{
-    store_confirmation copy = message;
-    copy.forwarded = true;
-    send_to_domain(control::encode(self_, copy));
+    send(control::encode(self_, message),
+         state_.peers.domain_contacts(++confirmation_round_, now));
+    forward(std::move(message));
 }
 
 void peer_exchange::send_leaving(const target_record& record)
 {
     const target_leaving message{record.id, record.started_at_ms,
                                  state_.settings.self.name};
-    send_to_domain(control::encode(self_, message));
+    send_to_domain(message);
     repeated_.push_back({message, state_.now() + leaving_repeat_time});
 }
 
@@ -225,7 +222,7 @@
                   { return entry.until < now; });
     for (const repeated_leaving& entry : repeated_)
     {
-        send_to_domain(control::encode(self_, entry.message));
+        send_to_domain(entry.message);
     }
 }
 
@@ -346,7 +343,7 @@
     }
     if (!message.forwarded)
     {
-        send_to_domain(message);
+        forward(message);
     }
 }
 
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -81,8 +81,10 @@
     void apply(domain_state message, const incarnation_id& sender);
     void apply(const store_confirmation& message, const incarnation_id& sender);
     void apply(const target_leaving& message, const incarnation_id& sender);
-    void send_to_domain(const store_confirmation& message);
-    void send_to_domain(const std::string& encoded);
+    void send(const std::string& encoded,
+              const std::vector<net::endpoint>& receivers);
+    template <class Message>
+    void send_to_domain(const Message& message);
     void repeat_leaving();
     void apply_usages(const std::vector<organisation_usage>& usages,
                       const report_source& source);
@@ -95,7 +97,8 @@
     void send_in_parts(const Message& message,
                        const std::vector<organisation_usage>& usages,
                        const std::vector<net::endpoint>& receivers);
-    void forward(domain_state message);
+    template <class Message>
+    void forward(Message message);
 
     gateway_state& state_;
     incarnation_id self_;
