--- a/include/siskinflow/gateway/attempt_history.hpp
+++ b/include/siskinflow/gateway/attempt_history.hpp
@@ -82,13 +82,14 @@
     std::optional<not_run_proof> not_run() const;
 
     /// @brief As `not_run`, for an answer that tells the caller. Nothing can be
-    /// sent after that.
+    /// sent after that until a caller requests it again.
     std::optional<not_run_proof> report_not_run();
 
-    /// @brief Whether a caller was told that the request has not run.
-    bool reported_not_run() const
+    /// @brief A caller sends the request once more: after a report it may be
+    /// sent again.
+    void on_requested()
     {
-        return reported_not_run_;
+        reported_not_run_ = false;
     }
 
     /// @brief Permission for a further attempt.
--- a/include/siskinflow/gateway/order_histories.hpp
+++ b/include/siskinflow/gateway/order_histories.hpp
@@ -21,8 +21,7 @@
 class order_histories
 {
 public:
-    /// @brief The attempts of an id. They are new if the id is not known, or if
-    /// the caller has been told that it has not run.
+    /// @brief The attempts of an id that a caller requests.
     /// @param id of the request
     /// @param now current time
     std::shared_ptr<attempt_history> open(std::string_view id, time_point now);
--- a/src/gateway/order_histories.cpp
+++ b/src/gateway/order_histories.cpp
@@ -28,10 +28,11 @@
         const auto found = older_.find(key);
         history = found == older_.end() ? nullptr : found->second;
     }
-    if (history == nullptr || history->reported_not_run())
+    if (history == nullptr)
     {
         history = std::make_shared<attempt_history>();
     }
+    history->on_requested();
     return history;
 }
 
--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -29,15 +29,42 @@
            text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
+/// Whether a status line begins in the text: the beginning of an additional
+/// answer has run into the head of the next one, and the fields are those of
+/// two answers.
+bool contains_status_line(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t minor_size = 2; // "1 "
+    constexpr std::size_t status_size = 3;
+    for (auto at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1))
+    {
+        const auto status =
+            text.substr(std::min(text.size(), at + version.size() + minor_size))
+                .substr(0, status_size);
+        if (status.size() == status_size &&
+            status.find_first_not_of("0123456789") == std::string_view::npos)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// The framing fields of a head that have been read so far.
 struct framing_fields
 {
     std::string_view length;
     bool chunked = false;
 
-    /// @return false if h2o can't read the line
+    /// @return false if h2o can't read the line, or if it is none of one head
     bool parse_line(std::string_view line)
     {
+        if (contains_status_line(line))
+        {
+            return false;
+        }
         const auto colon = std::min(line.find(':'), line.size());
         const std::string_view name = line.substr(0, colon);
         const std::string_view value = without_leading_spaces(
@@ -75,7 +102,8 @@
             line.size() >= status_end && line.starts_with(version) &&
             (line[version.size()] == '0' || line[version.size()] == '1') &&
             line[status_at - 1] == ' ' &&
-            (line.size() == status_end || line[status_end] == ' ');
+            (line.size() == status_end || line[status_end] == ' ') &&
+            !contains_status_line(line.substr(status_end));
         if (!framed)
         {
             return;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -37,6 +37,7 @@
         return make(peer);
     }
     auto& connections = found->second;
+    close_expired(connections);
     const auto usable = std::find_if(
         connections.begin(), connections.end(),
         [id](const auto& entry) { return entry.connection->may_carry(id); });
@@ -64,6 +65,16 @@
     schedule_expiry();
 }
 
+void connection_pool::close_expired(std::deque<idle_connection>& connections)
+{
+    const time_point now = loop_.now();
+    while (!connections.empty() &&
+           now - connections.front().since >= max_idle_time)
+    {
+        connections.pop_front();
+    }
+}
+
 void connection_pool::schedule_expiry()
 {
     if (expiry_timer_ == 0)
@@ -75,15 +86,10 @@
 void connection_pool::expire()
 {
     expiry_timer_ = 0;
-    const time_point now = loop_.now();
     for (auto entry = idle_.begin(); entry != idle_.end();)
     {
         auto& connections = entry->second;
-        while (!connections.empty() &&
-               now - connections.front().since >= max_idle_time)
-        {
-            connections.pop_front();
-        }
+        close_expired(connections);
         entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
     }
     if (!idle_.empty())
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -53,6 +53,7 @@
         time_point since;
     };
 
+    void close_expired(std::deque<idle_connection>& connections);
     void schedule_expiry();
     void expire();
 
