Play copies of refusals in the soak

A proxy in front of a target records the refusals that pass on a connection and sends copies of them: whole, cut in its head, twice or behind an interim head in front of a later answer, or on the idle connection. Spells at a target, drawn apart from the other faults, turn this on, let it refuse and fail some requests and give its address to further instances.

--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -7,9 +7,23 @@
 
 using namespace siskinflow;
 
+namespace
+{
+
+platform_target::arrival arrival_of(const net::exchange_ptr& exchange)
+{
+    const net::http_request& request = exchange->request();
+    return {std::string(request.headers.value("siskinflow-request-id")),
+            std::string(request.headers.value("siskinflow-expected-instance")),
+            request.path_and_query()};
+}
+
+} // namespace
+
 platform_target::platform_target(net::event_loop& loop,
                                  platform_target_options options)
-    : loop_(loop), options_(std::move(options))
+    : loop_(loop), options_(std::move(options)), instances_{options_.id},
+      random_(std::hash<std::string>()(options_.id))
 {
 }
 
@@ -57,34 +71,50 @@
     return out;
 }
 
+bool platform_target::chance(double part)
+{
+    return part > 0 && std::uniform_real_distribution<>()(random_) < part;
+}
+
+/// The id comes last, so that a copy that is cut in front of it says that its
+/// request has not run but not which request that is.
+void platform_target::refuse(const net::exchange_ptr& exchange) const
+{
+    net::http_headers headers{{"siskinflow-not-executed", "1"}};
+    if (!retry_after_.empty())
+    {
+        headers.add("retry-after", retry_after_);
+    }
+    headers.add("server", "platform target");
+    for (const auto& [name, value] : answer_headers(exchange))
+    {
+        headers.add(name, value);
+    }
+    exchange->respond({503, std::move(headers), {}});
+}
+
 void platform_target::handle(const net::exchange_ptr& exchange)
 {
     const net::http_headers& headers = exchange->request().headers;
-    const std::string id(headers.value("siskinflow-request-id"));
-    if (replaced_ ||
-        headers.value("siskinflow-expected-instance") != options_.id)
+    const arrival seen = arrival_of(exchange);
+    if (replaced_ || instances_.count(seen.instance) == 0)
     {
         exchange->respond({421,
-                           {{"siskinflow-request-id", id},
+                           {{"siskinflow-not-executed", "1"},
                             {"siskinflow-instance-id", "another"},
-                            {"siskinflow-not-executed", "1"}},
+                            {"siskinflow-request-id", seen.id}},
                            {}});
         return;
     }
     ++arrivals_;
     if (on_arrival_)
     {
-        on_arrival_(id, !retry_after_.empty());
+        on_arrival_(seen, !retry_after_.empty());
     }
-    if (full_ || running_ >= options_.slots || !retry_after_.empty())
+    if (full_ || running_ >= options_.slots || !retry_after_.empty() ||
+        chance(refused_part_))
     {
-        net::http_headers rejection = answer_headers(exchange);
-        rejection.add("siskinflow-not-executed", "1");
-        if (!retry_after_.empty())
-        {
-            rejection.add("retry-after", retry_after_);
-        }
-        exchange->respond({503, std::move(rejection), {}});
+        refuse(exchange);
         return;
     }
     const bool has_valid_headers =
@@ -92,7 +122,11 @@
         !headers.contains("authorization") &&
         headers.contains("siskinflow-request-deadline-ms");
     faults_ += has_valid_headers ? 0 : 1;
-    ++runs_[id];
+    ++runs_[seen.id];
+    if (on_run_)
+    {
+        on_run_(seen);
+    }
     ++running_;
     exchange->on_cancel([this] { ++cancelled_; });
     const duration work = exchange->request().path.ends_with("long")
@@ -101,12 +135,16 @@
     loop_.after(work, [this, exchange] { finish(exchange); });
 }
 
-void platform_target::answer_wrongly(const net::exchange_ptr& exchange) const
+void platform_target::answer_wrongly(const net::exchange_ptr& exchange,
+                                     answer_fault fault) const
 {
     net::http_headers headers = answer_headers(exchange);
-    switch (answer_fault_)
+    switch (fault)
     {
     case answer_fault::none:
+    case answer_fault::plain_500:
+        exchange->respond({500, std::move(headers), {}});
+        return;
     case answer_fault::plain_503:
         exchange->respond({503, std::move(headers), {}});
         return;
@@ -133,13 +171,15 @@
 void platform_target::finish(const net::exchange_ptr& exchange)
 {
     --running_;
-    if (answer_fault_ != answer_fault::none)
+    const answer_fault fault =
+        chance(failed_part_) ? answer_fault::plain_500 : answer_fault_;
+    if (fault != answer_fault::none)
     {
-        answer_wrongly(exchange);
+        answer_wrongly(exchange, fault);
         return;
     }
-    std::string body = "answer of " + options_.id + " to " +
-                       exchange->request().path_and_query();
+    const arrival seen = arrival_of(exchange);
+    std::string body = "answer of " + seen.instance + " to " + seen.path;
     body.resize(std::max(body.size(), options_.min_answer_bytes), ' ');
     net::http_headers headers = answer_headers(exchange);
     headers.add("siskinflow-response-signature", "signed");
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -10,6 +10,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
 
 namespace standin
@@ -19,6 +21,7 @@
 enum class answer_fault : std::uint8_t
 {
     none,
+    plain_500,        ///< A failure without a signature.
     plain_503,        ///< 503 without a field that says that it did not run.
     plain_421,        ///< 421 without such a field.
     plain_429,        ///< 429 without such a field.
@@ -139,14 +142,48 @@
         failing_ = failing;
     }
 
-    /// @brief Called with the id of each request that arrives.
+    /// @brief A request as it arrived.
+    struct arrival
+    {
+        std::string id;
+        std::string instance; ///< That it is meant for, and that answers.
+        std::string path;     ///< With the query.
+    };
+
+    /// @brief Called with each request that arrives.
     /// @param turned_away whether it is answered with a Retry-After
-    void on_arrival(
-        std::function<void(const std::string& id, bool turned_away)> call)
+    void
+    on_arrival(std::function<void(const arrival& seen, bool turned_away)> call)
     {
         on_arrival_ = std::move(call);
     }
 
+    /// @brief Called with each request that begins to run.
+    void on_run(std::function<void(const arrival& seen)> call)
+    {
+        on_run_ = std::move(call);
+    }
+
+    /// @brief Sets the instances that the target is, in place of its id.
+    /// Requests for others get 421.
+    void set_instances(std::set<std::string> instances)
+    {
+        instances_ = std::move(instances);
+    }
+
+    /// @brief Sets the fraction of requests that are refused at random.
+    void set_refused_part(double part)
+    {
+        refused_part_ = part;
+    }
+
+    /// @brief Sets the fraction of runs that end with an unsigned failure, at
+    /// random.
+    void set_failed_part(double part)
+    {
+        failed_part_ = part;
+    }
+
     /// @brief Requests that have arrived, those turned away included.
     std::uint64_t arrivals() const
     {
@@ -167,7 +204,10 @@
     siskinflow::net::http_headers
     answer_headers(const siskinflow::net::exchange_ptr& exchange) const;
     bool should_truncate_next();
-    void answer_wrongly(const siskinflow::net::exchange_ptr& exchange) const;
+    bool chance(double part);
+    void refuse(const siskinflow::net::exchange_ptr& exchange) const;
+    void answer_wrongly(const siskinflow::net::exchange_ptr& exchange,
+                        answer_fault fault) const;
 
     siskinflow::net::event_loop& loop_;
     platform_target_options options_;
@@ -184,7 +224,12 @@
     answer_fault answer_fault_ = answer_fault::none;
     std::string retry_after_;
     std::uint64_t arrivals_ = 0;
-    std::function<void(const std::string&, bool)> on_arrival_;
+    std::function<void(const arrival&, bool)> on_arrival_;
+    std::function<void(const arrival&)> on_run_;
+    std::set<std::string> instances_;
+    double refused_part_ = 0;
+    double failed_part_ = 0;
+    std::mt19937_64 random_;
 };
 
 } // namespace standin
--- a/tests/lib/loopback_proxy.cpp
+++ b/tests/lib/loopback_proxy.cpp
@@ -1,5 +1,7 @@
 #include "loopback_proxy.hpp"
 
+#include "refusal_copier.hpp"
+
 // clang-format off
 #include <utility> // Asio of Boost 1.74 uses std::exchange without it.
 #include <boost/asio.hpp>
@@ -20,12 +22,15 @@
 /// Time between two looks at a direction that is cut.
 constexpr std::chrono::milliseconds cut_poll{10};
 constexpr std::size_t part_bytes = 16384;
+/// A refusal is copied on its idle connection this long after it.
+constexpr std::chrono::milliseconds idle_copy_delay{40};
 
 /// Faults of a proxy, set from other threads.
 struct link_state
 {
     std::atomic<std::chrono::milliseconds::rep> delay_ms{0};
     std::array<std::atomic<bool>, 2> is_cut{false, false};
+    copy_state copies;
 };
 
 /// One direction of one connection. It keeps the connection alive while it
@@ -34,9 +39,10 @@
 {
 public:
     pump(tcp::socket& from, tcp::socket& to, const link_state& state,
-         direction which)
-        : from_(from), to_(to), timer_(from.get_executor()), state_(state),
-          which_(which)
+         direction which, refusal_copier& copier)
+        : from_(from), to_(to), timer_(from.get_executor()),
+          copy_timer_(from.get_executor()), state_(state), which_(which),
+          copier_(copier)
     {
     }
 
@@ -85,18 +91,50 @@
             connection_.reset();
             return;
         }
+        take(std::string_view(part_.data(), bytes));
+        if (bytes_.empty())
+        {
+            read();
+            return;
+        }
         const std::chrono::milliseconds delay(state_.delay_ms.load());
-        wait(delay, bytes);
+        wait(delay);
     }
 
-    void wait(std::chrono::milliseconds time, std::size_t bytes)
+    void take(std::string_view part)
+    {
+        if (which_ == direction::to_server)
+        {
+            copier_.on_request();
+            bytes_ = part;
+            return;
+        }
+        bytes_ = copier_.on_answer(part);
+        if (!copier_.take_idle_wish())
+        {
+            return;
+        }
+        copy_timer_.expires_after(idle_copy_delay);
+        copy_timer_.async_wait(
+            [weak = weak_from_this()](error_code failed)
+            {
+                const auto self = weak.lock();
+                if (!failed && self != nullptr && !self->stopped_ &&
+                    !self->writing_)
+                {
+                    self->inject(self->copier_.idle_copy());
+                }
+            });
+    }
+
+    void wait(std::chrono::milliseconds time)
     {
         timer_.expires_after(time);
-        timer_.async_wait([self = shared_from_this(), bytes](error_code)
-                          { self->write_unless_cut(bytes); });
+        timer_.async_wait([self = shared_from_this()](error_code)
+                          { self->write_unless_cut(); });
     }
 
-    void write_unless_cut(std::size_t bytes)
+    void write_unless_cut()
     {
         if (stopped_)
         {
@@ -105,12 +143,12 @@
         }
         if (state_.is_cut[static_cast<std::size_t>(which_)])
         {
-            wait(cut_poll, bytes);
+            wait(cut_poll);
             return;
         }
         writing_ = true;
         boost::asio::async_write(
-            to_, boost::asio::buffer(part_.data(), bytes),
+            to_, boost::asio::buffer(bytes_),
             [self = shared_from_this()](error_code failed, std::size_t)
             {
                 self->writing_ = false;
@@ -126,9 +164,12 @@
     tcp::socket& from_;
     tcp::socket& to_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer copy_timer_;
     const link_state& state_;
     direction which_;
+    refusal_copier& copier_;
     std::array<char, part_bytes> part_{};
+    std::string bytes_; ///< Being written.
     std::shared_ptr<void> connection_;
     bool stopped_ = false;
     bool writing_ = false;
@@ -136,12 +177,14 @@
 
 struct connection
 {
-    connection(tcp::socket accepted, const link_state& state)
+    /// @param number of the connection, from which its copies are drawn
+    connection(tcp::socket accepted, link_state& state, std::uint64_t number)
         : client(std::move(accepted)), server(client.get_executor()),
+          copier(state.copies, number),
           to_server(std::make_shared<pump>(client, server, state,
-                                           direction::to_server)),
+                                           direction::to_server, copier)),
           to_client(std::make_shared<pump>(server, client, state,
-                                           direction::to_client))
+                                           direction::to_client, copier))
     {
     }
 
@@ -166,6 +209,7 @@
 
     tcp::socket client;
     tcp::socket server;
+    refusal_copier copier;
     std::shared_ptr<pump> to_server;
     std::shared_ptr<pump> to_client;
 };
@@ -198,7 +242,7 @@
     void relay(tcp::socket accepted)
     {
         const auto added =
-            std::make_shared<connection>(std::move(accepted), state);
+            std::make_shared<connection>(std::move(accepted), state, ++accepts);
         std::erase_if(open, [](const auto& entry) { return entry.expired(); });
         open.push_back(added);
         added->server.async_connect(
@@ -240,6 +284,7 @@
     tcp::endpoint server;
     tcp::acceptor acceptor;
     std::uint16_t own_port;
+    std::uint64_t accepts = 0;
     link_state state;
     std::vector<std::weak_ptr<connection>> open;
     /// Silent connections stay open until the proxy ends.
@@ -299,3 +344,13 @@
 {
     impl_->for_each_open([](connection& open) { open.reset(); });
 }
+
+void loopback_proxy::copy_refusals(unsigned per_hundred)
+{
+    impl_->state.copies.per_hundred = per_hundred;
+}
+
+const copy_state& loopback_proxy::copies() const
+{
+    return impl_->state.copies;
+}
--- a/tests/soak/caller_load.hpp
+++ b/tests/soak/caller_load.hpp
@@ -22,8 +22,8 @@
 
     void start(std::chrono::milliseconds request_gap)
     {
-        timer_ = world_.caller().loop().every(request_gap,
-                                              [this] { send(draw(), true); });
+        timer_ = world_.caller().loop().every(request_gap, [this]
+                                              { send(draw(), any_vm(), 1); });
     }
 
     void stop()
@@ -52,6 +52,11 @@
     static constexpr std::uint64_t long_orders_per_hundred = 5;
     static constexpr std::uint64_t bodies_per_hundred = 10;
     static constexpr std::uint64_t leavers_per_hundred = 5;
+    /// Of those that return.
+    static constexpr std::uint64_t same_id_per_hundred = 60;
+    static constexpr unsigned most_sends_of_an_id = 4;
+    static constexpr std::chrono::milliseconds return_delay{200};
+    static constexpr std::chrono::milliseconds quick_return_delay{20};
     static constexpr std::size_t longest_body = 60000;
 
     bool chance(std::uint64_t per_hundred)
@@ -78,15 +83,20 @@
         return out;
     }
 
-    void send(const caller_request& request, bool returns)
+    std::size_t any_vm()
+    {
+        return random_() % vms_;
+    }
+
+    /// @param number how often the request has been sent, with this send
+    void send(const caller_request& request, std::size_t vm, unsigned number)
     {
-        const std::size_t vm = random_() % vms_;
         const time_point sent = world_.caller().loop().now();
         promises_.on_sent(request, vm, sent);
         running_[request.id] = world_.send(
             vm, request,
-            [this, vm, sent, request, returns](const net::fetch_result& got)
-            { on_answer(vm, sent, request, got, returns); });
+            [this, vm, sent, request, number](const net::fetch_result& got)
+            { on_answer(vm, sent, request, got, number); });
         if (chance(leavers_per_hundred))
         {
             const std::chrono::milliseconds patience(random_() % 600);
@@ -97,7 +107,7 @@
 
     void on_answer(std::size_t vm, time_point sent,
                    const caller_request& request, const net::fetch_result& got,
-                   bool returns)
+                   unsigned number)
     {
         promises_.check(vm, sent, request, got);
         const bool answered = got.outcome == net::call_outcome::complete;
@@ -105,13 +115,33 @@
         in_a_row_ = served ? in_a_row_ + 1 : 0;
         world_.caller().loop().post([this, id = request.id]
                                     { running_.erase(id); });
-        if (answered && got.response.status == 503 && returns)
+        if (answered && got.response.status == 503 &&
+            number < most_sends_of_an_id)
+        {
+            come_back(vm, request, number);
+        }
+    }
+
+    void come_back(std::size_t vm, caller_request request, unsigned number)
+    {
+        if (chance(same_id_per_hundred))
+        {
+            // The query tells the sends of an id apart at the targets.
+            request.path = request.path.substr(0, request.path.find('?')) +
+                           "?send=" + std::to_string(number + 1);
+            const auto delay = chance(50) ? quick_return_delay : return_delay;
+            world_.caller().loop().after(delay, [this, vm, request, number]
+                                         { send(request, vm, number + 1); });
+            return;
+        }
+        if (number > 1)
         {
-            caller_request again = request;
-            again.id += "-again";
-            world_.caller().loop().after(std::chrono::milliseconds(200),
-                                         [this, again] { send(again, false); });
+            return;
         }
+        request.id += "-again";
+        world_.caller().loop().after(
+            return_delay,
+            [this, request] { send(request, any_vm(), most_sends_of_an_id); });
     }
 
     gateway_world& world_;
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -3,7 +3,9 @@
 // way or silence connections, in series that overlap. It checks what callers
 // and targets see and ends with 1 if a promise was broken.
 #include "caller_load.hpp"
+#include "copy_faults.hpp"
 #include "fault_source.hpp"
+#include "soak_report.hpp"
 
 #include <gflags/gflags.h>
 
@@ -16,6 +18,7 @@
 DEFINE_uint32(seconds, 20, "Time with faults, in seconds (1-3600)");
 DEFINE_uint32(vms, 3, "Gateway processes (1-30)");
 DEFINE_string(logs, "", "Folder for the logs of the gateways; none if empty");
+DEFINE_string(report, "", "File for a report as JSON; none if empty");
 DEFINE_string(gateway, "",
               "Absolute path of another build of the gateway; empty: this one");
 
@@ -28,9 +31,12 @@
 
 constexpr std::chrono::milliseconds request_gap{6};
 constexpr std::chrono::milliseconds fault_gap{700};
+constexpr std::chrono::milliseconds copy_fault_gap{500};
 /// After the last fault: the bound of 15 s for service as before.
 constexpr std::chrono::milliseconds recovery_limit{15000};
 constexpr int recovered_in_a_row = 30;
+/// Sets the numbers of the copies apart from those of the load.
+constexpr std::uint64_t copy_seed = 0x636f7079;
 /// Orders take long enough that each VM always has some in progress.
 constexpr std::chrono::milliseconds order_work{400};
 constexpr unsigned order_slots = 100;
@@ -61,6 +67,52 @@
     return out;
 }
 
+/// Tells the checker what arrives at the targets and runs there.
+void watch(const std::vector<standin::platform_target*>& targets,
+           promise_checker& promises)
+{
+    using arrival = standin::platform_target::arrival;
+    for (standin::platform_target* target : targets)
+    {
+        target->on_arrival(
+            [&promises, target](const arrival& seen, bool turned_away)
+            {
+                const duration pause =
+                    turned_away ? target->pause() : duration::zero();
+                promises.on_arrival(seen.instance, seen.id, pause);
+            });
+        target->on_run([&promises](const arrival& seen)
+                       { promises.on_run(seen.id, seen.path); });
+    }
+}
+
+/// Prints what was played and what became of the requests.
+void print_summary(const fault_source& faults, const copy_faults& copies,
+                   const promise_checker& promises, std::uint64_t sent)
+{
+    for (const auto& played : {faults.played(), copies.played()})
+    {
+        for (const auto& [kind, count] : played)
+        {
+            std::cout << "played " << count << ": " << kind << "\n";
+        }
+    }
+    for (const auto& [kind, count] : copies.copies())
+    {
+        std::cout << "copies " << count << ": " << kind << "\n";
+    }
+    std::cout << "refusals sent " << copies.refusals()
+              << ", copies while the request was in progress again "
+              << copies.copies_of_same_id() << "\n";
+    std::cout << "seed " << FLAGS_seed << ", requests " << sent;
+    for (const auto& [status, count] : promises.statuses())
+    {
+        std::cout << ", " << status << ": " << count;
+    }
+    std::cout << "; most sends in a pause: " << promises.most_in_pause()
+              << "; broken: " << promises.broken() << std::endl;
+}
+
 /// Prints what is needed to trace a VM that does not serve.
 void print_vm_states(gateway_world& world, const promise_checker& promises)
 {
@@ -138,22 +190,17 @@
     }
     promise_checker promises(world, FLAGS_vms);
     caller_load load(world, promises, load_random, FLAGS_vms);
-    for (standin::platform_target* target : targets)
-    {
-        target->on_arrival(
-            [&promises, target](const std::string& id, bool turned_away)
-            {
-                const duration pause =
-                    turned_away ? target->pause() : duration::zero();
-                promises.on_arrival(target->id(), id, pause);
-            });
-    }
+    watch(targets, promises);
     fault_source faults(world, promises, targets, fault_random, FLAGS_vms);
+    copy_faults copies(world, targets, FLAGS_seed ^ copy_seed);
     load.start(request_gap);
     auto striking =
         world.caller().loop().every(fault_gap, [&faults] { faults.strike(); });
+    auto copying = world.caller().loop().every(copy_fault_gap,
+                                               [&copies] { copies.strike(); });
     world.run_for(std::chrono::seconds(FLAGS_seconds));
     striking.reset();
+    copying.reset();
     world.run_for(7s); // Faults in progress end; stopped VMs start again.
     const bool recovered =
         world.until([&] { return load.served_in_a_row() > recovered_in_a_row; },
@@ -182,16 +229,12 @@
                          "a target saw a key or no organisation");
     }
     keep_logs(world);
-    for (const auto& [kind, count] : faults.played())
-    {
-        std::cout << "played " << count << ": " << kind << "\n";
-    }
-    std::cout << "seed " << FLAGS_seed << ", requests " << load.sent();
-    for (const auto& [status, count] : promises.statuses())
+    print_summary(faults, copies, promises, load.sent());
+    if (!FLAGS_report.empty() &&
+        !write_report(FLAGS_report, FLAGS_seed, faults, copies, promises))
     {
-        std::cout << ", " << status << ": " << count;
+        std::cout << "can't write " << FLAGS_report << std::endl;
+        return 1;
     }
-    std::cout << "; most sends in a pause: " << promises.most_in_pause()
-              << "; broken: " << promises.broken() << std::endl;
     return promises.broken() == 0 ? 0 : 1;
 }
--- /dev/null
+++ b/tests/soak/order_record.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// @brief Sends and runs of the orders of a soak.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace soak
+{
+
+/// @brief One order over all sends of it. A caller may send it again under its
+/// id after it was refused; the path, with its query, tells the sends apart.
+class order_record
+{
+public:
+    void on_run(const std::string& path)
+    {
+        ++runs_[path];
+    }
+
+    void on_refused(const std::string& path)
+    {
+        refused_.push_back(path);
+    }
+
+    int runs() const
+    {
+        int out = 0;
+        for (const auto& [path, count] : runs_)
+        {
+            out += count;
+        }
+        return out;
+    }
+
+    /// @brief Whether a send has run that was refused as not run.
+    bool ran_though_refused() const
+    {
+        for (const std::string& path : refused_)
+        {
+            if (runs_.count(path) != 0)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    std::map<std::string, int> runs_;  ///< By path.
+    std::vector<std::string> refused_; ///< Paths.
+};
+
+} // namespace soak
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -3,10 +3,11 @@
 #pragma once
 
 #include "gateway_world.hpp"
+#include "order_record.hpp"
 
 #include <iostream>
 #include <map>
-#include <set>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -23,12 +24,22 @@
 constexpr std::chrono::milliseconds pause_allowance{500};
 constexpr int sends_allowed_in_pause = 2;
 
+/// @brief A rule that was broken once.
+struct broken_rule
+{
+    std::string rule;
+    std::string request; ///< Empty if it concerns none.
+    std::optional<std::size_t> vm;
+    duration at; ///< Since the checks began.
+};
+
 /// @brief Counts promises kept and broken, from what callers and targets see.
 class promise_checker
 {
 public:
     promise_checker(gateway_world& world, std::size_t vms)
-        : world_(world), disturbed_(vms), last_(vms)
+        : world_(world), began_(world.caller().loop().now()), disturbed_(vms),
+          last_(vms)
     {
     }
 
@@ -38,10 +49,17 @@
         sent_[request.id] = {vm, now};
         if (request.method == "POST")
         {
-            orders_.insert(request.id);
+            orders_[request.id];
         }
     }
 
+    /// A target begins to run a request.
+    /// @param path with the query
+    void on_run(const std::string& id, const std::string& path)
+    {
+        orders_[id].on_run(path);
+    }
+
     /// A VM was started or has resumed: it knows nothing of what targets said.
     void on_restarted(std::size_t vm)
     {
@@ -125,7 +143,9 @@
         ++statuses_[status];
         if (status == 503 || status == 429 || status == 408 || status == 421)
         {
-            refused_.insert(request.id);
+            orders_[request.id].on_refused(request.path);
+            require(runs == 0 || request.method != "POST", request,
+                    "an order was refused as not run after a run");
         }
         if (status == 200 && got.response.headers.contains("server-leaving"))
         {
@@ -156,14 +176,20 @@
     /// those whose callers got no answer, and runs after a refusal.
     void check_orders()
     {
-        for (const std::string& id : orders_)
+        for (const auto& [id, order] : orders_)
         {
+            if (!id.starts_with("order-"))
+            {
+                continue;
+            }
             caller_request request;
             request.id = id;
             const int runs = world_.runs(id);
             require(runs <= 1, request,
                     "an order ran " + std::to_string(runs) + " times");
-            require(runs == 0 || refused_.count(id) == 0, request,
+            require(order.runs() == runs, request,
+                    "the runs of an order were not all recorded");
+            require(!order.ran_though_refused(), request,
                     "an order was refused as not run and has run");
         }
     }
@@ -181,12 +207,22 @@
     {
         if (!kept)
         {
-            ++broken_;
+            const auto sent = sent_.find(request.id);
+            broken_.push_back({what, request.id,
+                               sent == sent_.end()
+                                   ? std::nullopt
+                                   : std::optional(sent->second.vm),
+                               world_.caller().loop().now() - began_});
             std::cout << "BROKEN " << request.id << ": " << what << std::endl;
         }
     }
 
-    int broken() const
+    std::size_t broken() const
+    {
+        return broken_.size();
+    }
+
+    const std::vector<broken_rule>& broken_rules() const
     {
         return broken_;
     }
@@ -219,6 +255,7 @@
     using target_and_vm = std::pair<std::string, std::size_t>;
 
     gateway_world& world_;
+    time_point began_;
     std::map<std::string, sent_request> sent_; ///< By request id.
     std::map<target_and_vm, stated_pause> pauses_;
     std::map<target_and_vm, time_point> told_leaving_;
@@ -227,9 +264,8 @@
     std::vector<time_point> disturbed_; ///< By VM, for the last time.
     std::vector<std::string> last_;     ///< By VM.
     std::map<int, int> statuses_;
-    std::set<std::string> orders_;
-    std::set<std::string> refused_;
-    int broken_ = 0;
+    std::map<std::string, order_record> orders_; ///< By request id.
+    std::vector<broken_rule> broken_;
 };
 
 } // namespace soak
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -83,6 +83,12 @@
     void add_entry(const std::string& id, const std::string& service,
                    std::uint16_t port);
 
+    /// @brief Removes a target's entry.
+    void remove_entry(const std::string& id)
+    {
+        store_->remove("servers/" + id);
+    }
+
     /// @brief Writes a target's entry again.
     /// @param born start of the target's incarnation, in Unix milliseconds
     void register_target(const std::string& id, const std::string& state,
--- a/tests/support/loopback_proxy.hpp
+++ b/tests/support/loopback_proxy.hpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <string>
 
+struct copy_state;
+
 /// @brief Direction of the bytes of a connection.
 enum class direction : std::uint8_t
 {
@@ -46,6 +48,14 @@
     /// open connection on which no other bytes are on their way.
     void inject(const std::string& bytes);
 
+    /// @brief Sends copies of the refusals that have passed on a connection,
+    /// in front of its later answers or while it is idle; zero ends it.
+    /// @param per_hundred of the answers that follow a refusal
+    void copy_refusals(unsigned per_hundred);
+
+    /// @brief Refusals that have passed and their copies.
+    const copy_state& copies() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
