Aim copies of refusals at requests that are sent again

A copy of another request's refusal can only harm when it is cut, so most are; requests that are in progress again on their connection always meet a copy.

--- a/tests/lib/refusal_copier.cpp
+++ b/tests/lib/refusal_copier.cpp
@@ -111,10 +111,7 @@
 {
     const std::string head = std::exchange(head_, {});
     const std::string id(field(head, id_field));
-    if (!refusals_.empty() && chance())
-    {
-        out += copy_in_front_of(id);
-    }
+    out += copy_in_front_of(id);
     out += head;
     const auto size = body_size(head);
     framing_unknown_ = !size;
@@ -128,18 +125,33 @@
     }
 }
 
-/// The refusal of the request that is in progress again, or the newest one.
+/// A copy of the refusal of the request that is in progress again, always; or,
+/// by chance, one of the newest refusal, mostly cut, as only that can pass for
+/// the answer to another request.
 std::string refusal_copier::copy_in_front_of(std::string_view next_id)
 {
+    constexpr std::array kinds{copy_kind::whole, copy_kind::cut,
+                               copy_kind::behind_interim, copy_kind::twice};
     const auto same =
         std::find_if(refusals_.begin(), refusals_.end(),
                      [&](const refusal& each) { return each.id == next_id; });
-    const refusal& from = same == refusals_.end() ? refusals_.back() : *same;
-    constexpr std::array kinds{copy_kind::whole, copy_kind::cut,
-                               copy_kind::behind_interim, copy_kind::twice};
-    const copy_kind kind = kinds[random_() % kinds.size()];
+    const bool again = same != refusals_.end();
+    if (refusals_.empty() || state_.per_hundred == 0 || (!again && !chance()))
+    {
+        return {};
+    }
+    copy_kind kind = kinds[random_() % kinds.size()];
+    if (!again && random_() % 2 == 0)
+    {
+        kind = copy_kind::cut;
+    }
     count(kind);
-    state_.of_same_id += same == refusals_.end() ? 0 : 1;
+    state_.of_same_id += again ? 1 : 0;
+    return bytes_of(kind, again ? *same : refusals_.back());
+}
+
+std::string refusal_copier::bytes_of(copy_kind kind, const refusal& from) const
+{
     switch (kind)
     {
     case copy_kind::cut:
--- a/tests/soak/caller_load.hpp
+++ b/tests/soak/caller_load.hpp
@@ -4,6 +4,7 @@
 
 #include "promise_checker.hpp"
 
+#include <array>
 #include <random>
 
 namespace soak
@@ -56,7 +57,11 @@
     static constexpr std::uint64_t same_id_per_hundred = 60;
     static constexpr unsigned most_sends_of_an_id = 4;
     static constexpr std::chrono::milliseconds return_delay{200};
-    static constexpr std::chrono::milliseconds quick_return_delay{20};
+    /// Of those under the same id; a target is used again 700 ms after it has
+    /// refused three times in a row.
+    static constexpr std::array<std::chrono::milliseconds, 3> same_id_delays{
+        std::chrono::milliseconds(20), std::chrono::milliseconds(200),
+        std::chrono::milliseconds(750)};
     static constexpr std::size_t longest_body = 60000;
 
     bool chance(std::uint64_t per_hundred)
@@ -129,7 +134,8 @@
             // The query tells the sends of an id apart at the targets.
             request.path = request.path.substr(0, request.path.find('?')) +
                            "?send=" + std::to_string(number + 1);
-            const auto delay = chance(50) ? quick_return_delay : return_delay;
+            const auto delay =
+                same_id_delays[random_() % same_id_delays.size()];
             world_.caller().loop().after(delay, [this, vm, request, number]
                                          { send(request, vm, number + 1); });
             return;
--- a/tests/soak/copy_faults.hpp
+++ b/tests/soak/copy_faults.hpp
@@ -23,10 +23,12 @@
 class copy_faults
 {
 public:
+    /// @param copies false: targets refuse and fail but send no copies
     copy_faults(gateway_world& world,
                 std::vector<standin::platform_target*> targets,
-                std::uint64_t seed)
-        : world_(world), targets_(std::move(targets)), random_(seed)
+                std::uint64_t seed, bool copies)
+        : world_(world), targets_(std::move(targets)), random_(seed),
+          copied_per_hundred_(copies ? copied_per_hundred : 0)
     {
     }
 
@@ -43,7 +45,7 @@
             return;
         }
         say("a target copies its refusals");
-        world_.target_link(target.id()).copy_refusals(copied_per_hundred);
+        world_.target_link(target.id()).copy_refusals(copied_per_hundred_);
         target.set_refused_part(refused_part);
         target.set_failed_part(failed_part);
         const auto entries = sharing == 0 ? std::vector<std::string>()
@@ -89,9 +91,10 @@
 private:
     static constexpr std::chrono::milliseconds shortest_spell{2000};
     static constexpr std::chrono::milliseconds spell_variation{3000};
-    static constexpr unsigned copied_per_hundred = 60;
-    static constexpr double refused_part = 0.25;
-    static constexpr double failed_part = 0.2;
+    static constexpr unsigned copied_per_hundred = 40;
+    static constexpr int added_instances = 3;
+    static constexpr double refused_part = 0.3;
+    static constexpr double failed_part = 0.4;
 
     int sum(std::atomic<int> copy_state::*which) const
     {
@@ -109,7 +112,7 @@
         std::cout << "fault: " << what << std::endl;
     }
 
-    /// Registers two more instances at the target's address.
+    /// Registers further instances at the target's address.
     /// @param restarted the target is only the last one, and the entries of
     /// the others are those of incarnations before; otherwise it is all
     /// @return the instances added
@@ -121,7 +124,7 @@
         const std::string& id = target.id();
         const std::string service = id.substr(0, id.find('-'));
         std::vector<std::string> out;
-        for (int i = 0; i < 2; ++i)
+        for (int i = 0; i < added_instances; ++i)
         {
             out.push_back(id + "-" + std::to_string(++last_instance_));
             world_.add_entry(out.back(), service,
@@ -133,7 +136,9 @@
         }
         else
         {
-            target.set_instances({id, out.front(), out.back()});
+            std::set<std::string> all(out.begin(), out.end());
+            all.insert(id);
+            target.set_instances(std::move(all));
         }
         return out;
     }
@@ -155,6 +160,7 @@
     gateway_world& world_;
     std::vector<standin::platform_target*> targets_;
     std::mt19937_64 random_;
+    unsigned copied_per_hundred_;
     std::map<std::string, int> played_;
     std::set<std::string> in_spell_;
     int last_instance_ = 0; ///< Ids are not used again.
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint32(seconds, 20, "Time with faults, in seconds (1-3600)");
 DEFINE_uint32(vms, 3, "Gateway processes (1-30)");
 DEFINE_string(logs, "", "Folder for the logs of the gateways; none if empty");
+DEFINE_bool(copies, true, "Targets send copies of their refusals");
 DEFINE_string(report, "", "File for a report as JSON; none if empty");
 DEFINE_string(gateway, "",
               "Absolute path of another build of the gateway; empty: this one");
@@ -192,7 +193,7 @@
     caller_load load(world, promises, load_random, FLAGS_vms);
     watch(targets, promises);
     fault_source faults(world, promises, targets, fault_random, FLAGS_vms);
-    copy_faults copies(world, targets, FLAGS_seed ^ copy_seed);
+    copy_faults copies(world, targets, FLAGS_seed ^ copy_seed, FLAGS_copies);
     load.start(request_gap);
     auto striking =
         world.caller().loop().every(fault_gap, [&faults] { faults.strike(); });
--- a/tests/support/refusal_copier.hpp
+++ b/tests/support/refusal_copier.hpp
@@ -71,6 +71,7 @@
     };
     void on_head(std::string& out);
     std::string copy_in_front_of(std::string_view next_id);
+    std::string bytes_of(copy_kind kind, const refusal& from) const;
     std::string cut_head(const refusal& from) const;
     bool chance();
     void count(copy_kind kind);
