--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -190,11 +190,14 @@
         time.advance(gap);
         run();
         caller.calls.clear();
-        state_.emplace(loop, caller, codec, log, metric_set, settings());
+        gateway::gateway_settings own = settings();
+        change_settings(own);
+        state_.emplace(loop, caller, codec, log, metric_set, std::move(own));
         gateway::policy policy;
         policy.version = 1;
         policy.routes = {route("orders", false), route("maps", true)};
         policy.services = {service("orders"), service("maps")};
+        change_policy(policy);
         state().apply_policy(std::move(policy), 1);
         caller.pooled = pooled;
         service_name = idempotent ? "maps" : "orders";
@@ -202,12 +205,19 @@
         {
             put_target(i);
         }
+        arrive(idempotent);
+    }
+
+    /// @brief A request arrives, at the state of the last one.
+    void arrive(bool idempotent)
+    {
         net::http_request request;
         request.method = idempotent ? "GET" : "POST";
         request.path = "/" + service_name + "/1";
         request.headers = {{"host", "site.example"},
                            {"siskinflow-request-id", request_id},
                            {"siskinflow-request-deadline-ms", "2000"}};
+        change_request(request);
         exchange = std::make_shared<recorded_exchange>(std::move(request));
         std::make_shared<gateway::request_flow>(state(), exchange)->start();
     }
@@ -251,6 +261,16 @@
         }
     }
 
+    /// What further requests differ in from those of the exploration.
+    std::function<void(gateway::gateway_settings&)> change_settings =
+        [](gateway::gateway_settings& /*settings*/) {};
+    std::function<void(gateway::policy&)> change_policy =
+        [](gateway::policy& /*policy*/) {};
+    std::function<void(gateway::target_record&, int number)> change_target =
+        [](gateway::target_record& /*record*/, int /*number*/) {};
+    std::function<void(net::http_request&)> change_request =
+        [](net::http_request& /*request*/) {};
+
     manual_clock time;
     net::event_loop loop;
     event_log log;
@@ -306,6 +326,7 @@
         record.failure_domain = "north-1";
         record.region = "north";
         record.slots = 6;
+        change_target(record, number);
         state().targets.put(record, time.now());
     }
 
