--- a/tests/lib/loopback_proxy.cpp
+++ b/tests/lib/loopback_proxy.cpp
@@ -87,6 +87,10 @@
         if (failed)
         {
             error_code ignored;
+            if (which_ == direction::to_client)
+            {
+                inject(copier_.take_incomplete_head());
+            }
             to_.shutdown(tcp::socket::shutdown_send, ignored);
             connection_.reset();
             return;
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "gateway_world.hpp"
-#include "order_record.hpp"
+#include "request_record.hpp"
 
 #include <iostream>
 #include <map>
@@ -49,7 +49,7 @@
         sent_[request.id] = {vm, now};
         if (request.method == "POST")
         {
-            orders_[request.id];
+            requests_[request.id].set_runs_once_at_most();
         }
     }
 
@@ -57,7 +57,7 @@
     /// @param path with the query
     void on_run(const std::string& id, const std::string& path)
     {
-        orders_[id].on_run(path);
+        requests_[id].on_run(path);
     }
 
     /// A VM was started or has resumed: it knows nothing of what targets said.
@@ -143,7 +143,7 @@
         ++statuses_[status];
         if (status == 503 || status == 429 || status == 408 || status == 421)
         {
-            orders_[request.id].on_refused(request.path);
+            requests_[request.id].on_refused(request.path);
             require(runs == 0 || request.method != "POST", request,
                     "an order was refused as not run after a run");
         }
@@ -176,9 +176,9 @@
     /// those whose callers got no answer, and runs after a refusal.
     void check_orders()
     {
-        for (const auto& [id, order] : orders_)
+        for (const auto& [id, order] : requests_)
         {
-            if (!id.starts_with("order-"))
+            if (!order.runs_once_at_most())
             {
                 continue;
             }
@@ -264,7 +264,7 @@
     std::vector<time_point> disturbed_; ///< By VM, for the last time.
     std::vector<std::string> last_;     ///< By VM.
     std::map<int, int> statuses_;
-    std::map<std::string, order_record> orders_; ///< By request id.
+    std::map<std::string, request_record> requests_; ///< By id.
     std::vector<broken_rule> broken_;
 };
 
--- a/tests/soak/order_record.hpp
+++ b/tests/soak/request_record.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Sends and runs of the orders of a soak.
+/// @brief Sends and runs of the requests of a soak.
 #pragma once
 
 #include <map>
@@ -9,11 +9,23 @@
 namespace soak
 {
 
-/// @brief One order over all sends of it. A caller may send it again under its
-/// id after it was refused; the path, with its query, tells the sends apart.
-class order_record
+/// @brief One request over all sends of it. A caller may send it again under
+/// its id after it was refused; the path, with its query, tells the sends
+/// apart.
+class request_record
 {
 public:
+    /// @brief The request is an order, which is judged.
+    void set_runs_once_at_most()
+    {
+        runs_once_at_most_ = true;
+    }
+
+    bool runs_once_at_most() const
+    {
+        return runs_once_at_most_;
+    }
+
     void on_run(const std::string& path)
     {
         ++runs_[path];
@@ -48,6 +60,7 @@
     }
 
 private:
+    bool runs_once_at_most_ = false;
     std::map<std::string, int> runs_;  ///< By path.
     std::vector<std::string> refused_; ///< Paths.
 };
--- a/tests/support/refusal_copier.hpp
+++ b/tests/support/refusal_copier.hpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// @brief How the copy of a refusal is sent.
@@ -56,6 +57,12 @@
     /// @return the bytes to pass on; empty while a head is incomplete
     std::string on_answer(std::string_view part);
 
+    /// @return the head that the target has begun and not ended
+    std::string take_incomplete_head()
+    {
+        return std::exchange(head_, {});
+    }
+
     /// @brief Whether a refusal has ended just now that is to be copied on the
     /// idle connection. Each is told once.
     bool take_idle_wish();
