--- a/tests/lib/raw_target.cpp
+++ b/tests/lib/raw_target.cpp
@@ -43,9 +43,16 @@
 
 } // namespace
 
-raw_target::raw_target(answerer answer)
-    : answer_(std::move(answer)), listener_(::socket(AF_INET, SOCK_STREAM, 0))
+raw_target::raw_target(answerer answer, head_answerer answer_head,
+                       int receive_buffer)
+    : answer_(std::move(answer)), answer_head_(std::move(answer_head)),
+      listener_(::socket(AF_INET, SOCK_STREAM, 0))
 {
+    if (receive_buffer > 0)
+    {
+        ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                     sizeof(receive_buffer));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -111,6 +118,19 @@
     return out;
 }
 
+void raw_target::on_head(const request& arrived, int connection)
+{
+    // The early bytes arrive while the sender is still writing the body.
+    constexpr std::chrono::milliseconds early_delay{2};
+    const std::string early =
+        answer_head_ ? answer_head_(arrived) : std::string();
+    if (!early.empty())
+    {
+        send_all(connection, early);
+        std::this_thread::sleep_for(early_delay);
+    }
+}
+
 void raw_target::serve(int connection, int number)
 {
     std::string received;
@@ -119,6 +139,7 @@
     request arrived;
     arrived.port = port_;
     arrived.connection = number;
+    bool head_read = false;
     for (;;)
     {
         const auto count = ::recv(connection, buffer, sizeof(buffer), 0);
@@ -129,15 +150,27 @@
         received.append(buffer, static_cast<std::size_t>(count));
         std::size_t head_size = 0;
         const std::size_t size = request_size(received, head_size);
-        if (size == 0 || received.size() < size)
+        if (size == 0)
+        {
+            continue;
+        }
+        if (!head_read)
+        {
+            const std::string head = received.substr(0, head_size);
+            arrived.method = head.substr(0, head.find(' '));
+            arrived.id = field_value(head, "siskinflow-request-id");
+            arrived.instance =
+                field_value(head, "siskinflow-expected-instance");
+            ++arrived.number;
+            head_read = true;
+            on_head(arrived, connection);
+        }
+        if (received.size() < size)
         {
             continue;
         }
-        const std::string head = received.substr(0, head_size);
         received.erase(0, size);
-        arrived.id = field_value(head, "siskinflow-request-id");
-        arrived.instance = field_value(head, "siskinflow-expected-instance");
-        ++arrived.number;
+        head_read = false;
         const reply chosen = handle(arrived, !ids.insert(arrived.id).second);
         send_all(connection, chosen.bytes);
         if (!chosen.late_bytes.empty())
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -21,6 +21,7 @@
     struct request
     {
         std::string id;
+        std::string method;
         std::string instance;   ///< Target that it is meant for.
         std::uint16_t port = 0; ///< Of the target.
         int connection = 0;     ///< Number of its connection, from 1.
@@ -47,7 +48,15 @@
     /// target.
     using answerer = std::function<reply(const request&)>;
 
-    explicit raw_target(answerer answer);
+    /// @brief Chooses the bytes to send as soon as a head has arrived, before
+    /// its body is read; called from a thread of the target.
+    using head_answerer = std::function<std::string(const request&)>;
+
+    /// @param answer_head nothing is sent before the body if empty
+    /// @param receive_buffer of each connection in bytes; 0: of the system. A
+    /// small one keeps the sender writing a large body until it is read.
+    explicit raw_target(answerer answer, head_answerer answer_head = {},
+                        int receive_buffer = 0);
     ~raw_target();
     raw_target(const raw_target&) = delete;
     raw_target& operator=(const raw_target&) = delete;
@@ -69,7 +78,10 @@
     void serve(int connection, int number);
     reply handle(const request& arrived, bool repeated);
 
+    void on_head(const request& arrived, int connection);
+
     answerer answer_;
+    head_answerer answer_head_;
     int listener_ = -1;
     std::uint16_t port_ = 0;
     mutable std::mutex mutex_;
