--- a/tests/lib/raw_target.cpp
+++ b/tests/lib/raw_target.cpp
@@ -68,15 +68,12 @@
 {
     ::shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
+    std::unique_lock lock(mutex_);
     for (const int connection : connections_)
     {
         ::shutdown(connection, SHUT_RDWR);
     }
-    workers_.clear();
-    for (const int connection : connections_)
-    {
-        ::close(connection);
-    }
+    connection_ended_.wait(lock, [this] { return connections_.empty(); });
     ::close(listener_);
 }
 
@@ -102,10 +99,13 @@
         {
             return;
         }
-        connections_.push_back(connection);
-        workers_.emplace_back(
-            [this, connection, number = static_cast<int>(connections_.size())]
-            { serve(connection, number); });
+        const std::lock_guard lock(mutex_);
+        connections_.insert(connection);
+        // Detached, because a thread that has ended keeps its stack until it is
+        // joined, and a test may open thousands of connections.
+        std::thread([this, connection, number = ++accepted_]
+                    { serve(connection, number); })
+            .detach();
     }
 }
 
@@ -179,5 +179,8 @@
             send_all(connection, chosen.late_bytes);
         }
     }
-    ::shutdown(connection, SHUT_RDWR);
+    const std::lock_guard lock(mutex_);
+    ::close(connection);
+    connections_.erase(connection);
+    connection_ended_.notify_all();
 }
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -4,13 +4,14 @@
 #pragma once
 
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
-#include <vector>
 
 /// @brief Reads requests, which may have a body with a length, and sends the
 /// bytes that a test chooses.
@@ -87,7 +88,8 @@
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_; ///< By request id.
     int repeated_on_connection_ = 0;
-    std::vector<int> connections_;
-    std::vector<std::jthread> workers_;
+    std::set<int> connections_; ///< Open ones.
+    std::condition_variable connection_ended_;
+    int accepted_ = 0;
     std::jthread acceptor_;
 };
