--- a/tests/process/gateway_copies_search_test.cpp
+++ b/tests/process/gateway_copies_search_test.cpp
@@ -210,6 +210,13 @@
     return out;
 }
 
+/// A copy cut behind its length is framed also without the next head.
+std::string refused_length_first(const std::string& id)
+{
+    return refused_with("503 Service Unavailable",
+                        not_run + "content-length: 0\r\n", id);
+}
+
 std::string refused_without_proof(const std::string& id)
 {
     return refused_with("503 Service Unavailable", "", id);
@@ -394,7 +401,7 @@
 std::vector<copy_item> items_of(const copy_case& played)
 {
     constexpr int plays_of_one_cut = 6;
-    const std::string copy = played.refusal("order-000-0000");
+    const std::string copy = played.refusal("order-000-00000");
     std::vector<copy_item> out;
     if (played.cut == cuts::every)
     {
@@ -499,6 +506,11 @@
         additional_bytes bytes;
     };
 
+    static bool caller_leaves(const raw_target::request& arrived)
+    {
+        return arrived.id.starts_with("leave");
+    }
+
     static bool is_order(const raw_target::request& arrived)
     {
         return arrived.method != "GET";
@@ -515,7 +527,8 @@
         // Targets that fail more often than this get no requests for a while.
         constexpr int served_before_refusal = 3;
         const bool kind_matches =
-            is_order(arrived) != (kind_ == traffic::reads_refused);
+            is_order(arrived) != (kind_ == traffic::reads_refused) &&
+            caller_leaves(arrived) == (kind_ == traffic::caller_leaves);
         return at.served >= served_before_refusal && kind_matches &&
                next_ < items_.size();
     }
@@ -625,7 +638,7 @@
 struct search_fleet
 {
     /// A target that has refused is not used for some time.
-    static constexpr int size = 40;
+    static constexpr int size = 120;
     /// Less than a large body.
     static constexpr int receive_buffer = 4096;
 
@@ -671,9 +684,12 @@
     caller_request next_request(traffic kind)
     {
         constexpr std::size_t large_body = 60000;
-        char id[24];
-        std::snprintf(id, sizeof(id), "order-000-%04d", ++last_order_);
-        caller_request out = order(id);
+        char number[24];
+        std::snprintf(number, sizeof(number), "-000-%05d", ++last_order_);
+        const bool leaves =
+            kind == traffic::caller_leaves && last_order_ % 2 == 0;
+        caller_request out =
+            order((leaves ? std::string("leave") : "order") + number);
         if (kind == traffic::reads_refused && last_order_ % 2 == 0)
         {
             out.method = "GET";
@@ -712,13 +728,12 @@
                                         last_order_ - last_refusal_orders >
                                             orders_after_last_refusal);
         };
-        const bool leaves = kind == traffic::caller_leaves;
         const bool done = world.until(
             [&]
             {
                 while (!is_done() && running_.size() < concurrent)
                 {
-                    start(next_request(kind), leaves && last_order_ % 2 == 0);
+                    start(next_request(kind));
                 }
                 return is_done();
             },
@@ -729,8 +744,7 @@
         EXPECT(done);
     }
 
-    /// @param leaves whether the caller leaves before a refusal arrives
-    void start(const caller_request& request, bool leaves)
+    void start(const caller_request& request)
     {
         running_[request.id] =
             world.send(0, request,
@@ -739,7 +753,7 @@
                            judge(request, got);
                            running_.erase(request.id);
                        });
-        if (leaves)
+        if (request.id.starts_with("leave"))
         {
             world.caller().loop().after(copy_player::refusal_delay / 2,
                                         [this, id = request.id]
@@ -868,6 +882,8 @@
     {"in front of an interim head", refused_503, in_front_of_interim, failed},
     {"in front of an interim head with the id", refused_503, in_front,
      failed_behind_interim},
+    {"a copy with a length in front of an interim head with the id",
+     refused_length_first, in_front, failed_behind_interim},
     {"as an interim head", refused_503, as_interim, failed},
     {"behind a failure", refused_503, behind_next, failed},
     {"behind a failure, whole", refused_503, behind_next, failed, cuts::whole},
@@ -961,3 +977,391 @@
     search_fleet fleet;
     fleet.play_all(cases_by_traffic);
 }
+
+namespace
+{
+
+/// A gateway and targets that refuse the first arrival of each order, and that
+/// send a copy of the refusal when the order arrives again.
+struct id_fleet
+{
+    id_fleet() : world(1)
+    {
+        world.configure();
+        EXPECT(world.start_all());
+    }
+
+    /// What a target does with an order that it sees for the first time.
+    enum class first_answer : std::uint8_t
+    {
+        refuse,
+        refuse_when_released,
+        serve,
+        serve_when_released,
+        fail,
+    };
+
+    raw_target::reply answer(const raw_target::request& arrived)
+    {
+        constexpr auto hold_limit = 500ms;
+        std::unique_lock lock(mutex_);
+        const connection key{arrived.port, arrived.connection};
+        ++arrivals_[arrived.id];
+        changed_.notify_all();
+        if (refused_[arrived.id].count(key) != 0)
+        {
+            return refused_503(arrived.id) + served(arrived.id);
+        }
+        if (arrivals_[arrived.id] > 1 && !refuses_always_)
+        {
+            return served(arrived.id);
+        }
+        if (first_ == first_answer::refuse_when_released ||
+            first_ == first_answer::serve_when_released)
+        {
+            changed_.wait_for(lock, hold_limit, [this] { return released_; });
+        }
+        if (first_ == first_answer::serve ||
+            first_ == first_answer::serve_when_released)
+        {
+            return served(arrived.id);
+        }
+        if (first_ == first_answer::fail)
+        {
+            return failed(arrived.id);
+        }
+        refused_[arrived.id].insert(key);
+        return {refused_503(arrived.id), false};
+    }
+
+    raw_target& add_target()
+    {
+        targets.push_back(std::make_unique<raw_target>(
+            [this](const raw_target::request& arrived)
+            { return answer(arrived); }));
+        return *targets.back();
+    }
+
+    void put_entry(const std::string& id, const raw_target& target)
+    {
+        world.add_entry(id, "orders", target.port());
+        entries_.insert(id);
+    }
+
+    void remove_entry(const std::string& id)
+    {
+        world.store().remove("servers/" + id);
+        entries_.erase(id);
+    }
+
+    /// Removes all entries and adds new targets.
+    std::vector<std::string> begin(int count, first_answer first)
+    {
+        while (!entries_.empty())
+        {
+            remove_entry(*entries_.begin());
+        }
+        {
+            const std::lock_guard lock(mutex_);
+            first_ = first;
+            released_ = false;
+            refuses_always_ = false;
+        }
+        std::vector<std::string> out;
+        for (int i = 0; i < count; ++i)
+        {
+            out.push_back("entry-" + std::to_string(++last_entry_));
+            put_entry(out.back(), add_target());
+        }
+        world.run_for(known_after);
+        return out;
+    }
+
+    std::string next_id()
+    {
+        return "order-" + std::to_string(++last_order_);
+    }
+
+    void send(const std::string& id)
+    {
+        calls_.push_back(world.send(0, order(id),
+                                    [this, id](const net::fetch_result& got)
+                                    { answers_[id].push_back(got); }));
+    }
+
+    void release()
+    {
+        const std::lock_guard lock(mutex_);
+        released_ = true;
+        changed_.notify_all();
+    }
+
+    void hold()
+    {
+        const std::lock_guard lock(mutex_);
+        released_ = false;
+    }
+
+    void refuse_always()
+    {
+        const std::lock_guard lock(mutex_);
+        refuses_always_ = true;
+    }
+
+    int arrivals(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        return arrivals_[id];
+    }
+
+    bool until_arrived(const std::string& id, int count)
+    {
+        return world.until([&] { return arrivals(id) >= count; }, 500ms);
+    }
+
+    bool until_answered(const std::string& id, std::size_t count)
+    {
+        return world.until([&] { return answers_[id].size() >= count; }, 4s);
+    }
+
+    int runs(const std::string& id) const
+    {
+        int out = 0;
+        for (const auto& target : targets)
+        {
+            out += target->runs(id);
+        }
+        return out;
+    }
+
+    /// @param all_answers whether each answer counts, not only the last one
+    void judge(const std::string& id, broken_counts& out,
+               bool all_answers = false)
+    {
+        const int ran = runs(id);
+        const auto& answers = answers_[id];
+        const bool promised =
+            all_answers
+                ? std::any_of(answers.begin(), answers.end(), is_refused)
+                : !answers.empty() && is_refused(answers.back());
+        ++out.answered;
+        out.ran_twice += ran > 1 ? 1 : 0;
+        out.ran_though_refused += promised && ran > 0 ? 1 : 0;
+        for (const net::fetch_result& got : answers)
+        {
+            out.not_whole += is_not_whole(got, order(id)) ? 1 : 0;
+        }
+        std::printf("%s: arrived %d, ran %d, answers", id.c_str(), arrivals(id),
+                    ran);
+        for (const net::fetch_result& got : answers)
+        {
+            std::printf(" %d", got.outcome == net::call_outcome::complete
+                                   ? got.response.status
+                                   : 0);
+        }
+        std::printf("\n");
+    }
+
+    /// Plays a way for some orders.
+    void play(const std::string& name,
+              const std::function<void(broken_counts&)>& way)
+    {
+        constexpr int plays = 2;
+        broken_counts counts;
+        for (int i = 0; i < plays; ++i)
+        {
+            way(counts);
+        }
+        counts.print(name);
+        broken_ += counts.total() > 0 ? name + "; " : "";
+    }
+
+    void expect_none_broken()
+    {
+        int repeated = 0;
+        for (const auto& target : targets)
+        {
+            repeated += target->repeated_on_connection();
+        }
+        std::printf("ids repeated on a connection: %d\n", repeated);
+        section("broken: " + broken_, [&] { EXPECT(broken_.empty()); });
+        EXPECT(repeated == 0);
+    }
+
+    /// Time after which a gateway knows a new or changed entry.
+    static constexpr std::chrono::milliseconds known_after{150};
+
+    gateway_world world;
+    std::vector<std::unique_ptr<raw_target>> targets;
+
+private:
+    using connection = std::pair<std::uint16_t, int>;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    first_answer first_ = first_answer::refuse;
+    bool released_ = false;
+    bool refuses_always_ = false;
+    std::map<std::string, int> arrivals_;
+    std::map<std::string, std::set<connection>> refused_;
+    std::set<std::string> entries_;
+    std::vector<std::shared_ptr<net::http_call>> calls_;
+    std::map<std::string, std::vector<net::fetch_result>> answers_;
+    std::string broken_;
+    int last_entry_ = 0;
+    int last_order_ = 0;
+};
+
+using first_answer = id_fleet::first_answer;
+
+} // namespace
+
+// Guards against a retry that goes to the same connection under the id of
+// another entry, because entries change while an order is under way or waits
+// (TWICE, REFUSED).
+Test(gateway_copies_search, ids_return_through_entries)
+{
+    id_fleet fleet;
+    // Changes the entries while the first target has the order, or after it
+    // has refused it.
+    const auto change = [&](const std::string& name, int targets,
+                            bool while_waiting, const auto& change_entries)
+    {
+        fleet.play(name,
+                   [&](broken_counts& counts)
+                   {
+                       const auto entries = fleet.begin(
+                           targets, while_waiting
+                                        ? first_answer::refuse
+                                        : first_answer::refuse_when_released);
+                       const std::string id = fleet.next_id();
+                       fleet.send(id);
+                       EXPECT(fleet.until_arrived(id, 1));
+                       if (while_waiting)
+                       {
+                           fleet.world.run_for(20ms);
+                           change_entries(entries);
+                       }
+                       else
+                       {
+                           change_entries(entries);
+                           fleet.world.run_for(fleet.known_after);
+                           fleet.release();
+                       }
+                       EXPECT(fleet.until_answered(id, 1));
+                       fleet.judge(id, counts);
+                   });
+    };
+    for (const bool while_waiting : {false, true})
+    {
+        const std::string when = while_waiting ? ", waiting" : ", under way";
+        change("an entry is replaced at its address" + when, 1, while_waiting,
+               [&](const std::vector<std::string>& entries)
+               {
+                   fleet.remove_entry(entries[0]);
+                   fleet.put_entry(entries[0] + "-again",
+                                   *fleet.targets.back());
+               });
+        change("a second entry has the address" + when, 1, while_waiting,
+               [&](const std::vector<std::string>& entries) {
+                   fleet.put_entry(entries[0] + "-second",
+                                   *fleet.targets.back());
+               });
+        change("an entry returns under its id" + when, 1, while_waiting,
+               [&](const std::vector<std::string>& entries)
+               {
+                   fleet.remove_entry(entries[0]);
+                   fleet.world.run_for(20ms);
+                   fleet.put_entry(entries[0], *fleet.targets.back());
+               });
+        change("entries swap their addresses" + when, 2, while_waiting,
+               [&](const std::vector<std::string>& entries)
+               {
+                   const std::size_t count = fleet.targets.size();
+                   fleet.put_entry(entries[0], *fleet.targets[count - 1]);
+                   fleet.put_entry(entries[1], *fleet.targets[count - 2]);
+               });
+    }
+    fleet.expect_none_broken();
+}
+
+// Guards against an order that its caller sends again under its id, at once or
+// later, after each kind of answer (TWICE, REFUSED).
+Test(gateway_copies_search, ids_return_from_callers)
+{
+    id_fleet fleet;
+    const auto again = [&](const std::string& name, first_answer first,
+                           std::chrono::milliseconds pause, int targets,
+                           int others)
+    {
+        fleet.play(name,
+                   [&](broken_counts& counts)
+                   {
+                       fleet.begin(targets, first);
+                       fleet.release();
+                       const std::string id = fleet.next_id();
+                       fleet.send(id);
+                       EXPECT(fleet.until_answered(id, 1));
+                       for (int i = 0; i < others; ++i)
+                       {
+                           fleet.world.call(0, order(fleet.next_id()));
+                       }
+                       fleet.world.run_for(pause);
+                       fleet.send(id);
+                       EXPECT(fleet.until_answered(id, 2));
+                       fleet.judge(id, counts);
+                   });
+    };
+    again("at once after a refusal", first_answer::refuse, 0ms, 1, 0);
+    again("later after a refusal", first_answer::refuse, 700ms, 1, 0);
+    again("after a refusal and other orders", first_answer::refuse, 700ms, 1,
+          20);
+    again("at once after a success", first_answer::serve, 0ms, 2, 0);
+    again("later after a success", first_answer::serve, 300ms, 2, 0);
+    again("after a failure", first_answer::fail, 0ms, 2, 0);
+    const auto together = [&](const std::string& name, first_answer first,
+                              int targets, bool refuses_always)
+    {
+        fleet.play(name,
+                   [&](broken_counts& counts)
+                   {
+                       fleet.begin(targets, first);
+                       if (refuses_always)
+                       {
+                           fleet.refuse_always();
+                       }
+                       const std::string id = fleet.next_id();
+                       fleet.send(id);
+                       fleet.send(id);
+                       fleet.until_arrived(id, 2);
+                       fleet.release();
+                       EXPECT(fleet.until_answered(id, 2));
+                       fleet.judge(id, counts, true);
+                   });
+    };
+    together("twice at once, the first is refused",
+             first_answer::refuse_when_released, 2, false);
+    together("twice at once, the first is served",
+             first_answer::serve_when_released, 2, false);
+    together("twice at once, both refused", first_answer::refuse_when_released,
+             2, true);
+    fleet.play("after its caller has left",
+               [&](broken_counts& counts)
+               {
+                   fleet.begin(2, first_answer::serve_when_released);
+                   const std::string id = fleet.next_id();
+                   {
+                       const auto left = fleet.world.send(
+                           0, order(id), [](const net::fetch_result&) {});
+                       EXPECT(fleet.until_arrived(id, 1));
+                       left->cancel();
+                   }
+                   fleet.world.run_for(20ms);
+                   fleet.send(id);
+                   fleet.world.run_for(50ms);
+                   fleet.release();
+                   EXPECT(fleet.until_answered(id, 1));
+                   fleet.judge(id, counts);
+               });
+    fleet.expect_none_broken();
+}
