--- a/tests/lib/raw_target.cpp
+++ b/tests/lib/raw_target.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <set>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -99,6 +100,10 @@
         {
             return;
         }
+        // Otherwise late bytes wait for the acknowledgement of the answer,
+        // which comes with the next request.
+        const int on = 1;
+        ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         const std::lock_guard lock(mutex_);
         connections_.insert(connection);
         // Detached, because a thread that has ended keeps its stack until it is
--- a/tests/process/gateway_copies_search_test.cpp
+++ b/tests/process/gateway_copies_search_test.cpp
@@ -424,7 +424,7 @@
 {
 public:
     /// How long the answer of a refusal that the caller does not await takes.
-    static constexpr std::chrono::milliseconds refusal_delay{15};
+    static constexpr std::chrono::milliseconds refusal_delay{60};
 
     void begin(std::vector<copy_item> items, traffic kind)
     {
@@ -739,6 +739,10 @@
             },
             limit);
         world.until([&] { return running_.empty(); });
+        for (const auto& [request, got] : std::exchange(answered_, {}))
+        {
+            judge(request, got);
+        }
         std::printf("%zu of %zu items refused, %zu probed\n", player.refused(),
                     count, player.probed());
         EXPECT(done);
@@ -750,25 +754,28 @@
             world.send(0, request,
                        [this, request](const net::fetch_result& got)
                        {
-                           judge(request, got);
+                           if (request.method != "GET")
+                           {
+                               answered_.emplace_back(request, got);
+                           }
                            running_.erase(request.id);
                        });
         if (request.id.starts_with("leave"))
         {
             world.caller().loop().after(copy_player::refusal_delay / 2,
-                                        [this, id = request.id]
-                                        { running_.erase(id); });
+                                        [this, request]
+                                        {
+                                            running_.erase(request.id);
+                                            answered_.emplace_back(
+                                                request, net::fetch_result{});
+                                        });
         }
     }
 
-    /// Compares an answer with what the targets have done so far; a later run
-    /// is found in the end.
+    /// Compares an answer with what the targets have done when all requests
+    /// have ended, so that a late run counts.
     void judge(const caller_request& request, const net::fetch_result& got)
     {
-        if (request.method == "GET")
-        {
-            return;
-        }
         broken_counts& out = counts_of(request.id);
         out.answered += 1;
         const broken_counts before = out;
@@ -822,6 +829,7 @@
 private:
     int last_order_ = 0;
     std::map<std::string, std::shared_ptr<net::http_call>> running_;
+    std::vector<std::pair<caller_request, net::fetch_result>> answered_;
     std::map<const copy_case*, broken_counts> counts_;
 };
 
@@ -1073,10 +1081,23 @@
             out.push_back("entry-" + std::to_string(++last_entry_));
             put_entry(out.back(), add_target());
         }
-        world.run_for(known_after);
+        for (const std::string& id : out)
+        {
+            EXPECT(until_known(id));
+        }
         return out;
     }
 
+    bool until_known(const std::string& id)
+    {
+        return world.until(
+            [&] {
+                return world.log(0).find("target=" + id + " ") !=
+                       std::string::npos;
+            },
+            3s);
+    }
+
     std::string next_id()
     {
         return "order-" + std::to_string(++last_order_);
