--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -61,7 +61,10 @@
     /// @return false if h2o can't read the line, or if it is none of one head
     bool parse_line(std::string_view line)
     {
-        if (contains_status_line(line))
+        // h2o reads a folded line as a field without a name, so that the value
+        // in front of it is not the whole one.
+        const bool folded = line.starts_with(' ') || line.starts_with('\t');
+        if (folded || contains_status_line(line))
         {
             return false;
         }
