--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -57,7 +57,7 @@
     /// @param path with the query
     void on_run(const std::string& id, const std::string& path)
     {
-        requests_[id].on_run(path);
+        requests_[id].on_run(path, world_.caller().loop().now());
     }
 
     /// A VM was started or has resumed: it knows nothing of what targets said.
@@ -185,12 +185,13 @@
             caller_request request;
             request.id = id;
             const int runs = world_.runs(id);
+            const time_point at = order.last_run();
             require(runs <= 1, request,
-                    "an order ran " + std::to_string(runs) + " times");
+                    "an order ran " + std::to_string(runs) + " times", at);
             require(order.runs() == runs, request,
-                    "the runs of an order were not all recorded");
+                    "the runs of an order were not all recorded", at);
             require(!order.ran_though_refused(), request,
-                    "an order was refused as not run and has run");
+                    "an order was refused as not run and has run", at);
         }
     }
 
@@ -205,16 +206,23 @@
     void require(bool kept, const caller_request& request,
                  const std::string& what)
     {
-        if (!kept)
+        require(kept, request, what, world_.caller().loop().now());
+    }
+
+    /// @param at when it was broken, if it was
+    void require(bool kept, const caller_request& request,
+                 const std::string& what, time_point at)
+    {
+        if (kept)
         {
-            const auto sent = sent_.find(request.id);
-            broken_.push_back({what, request.id,
-                               sent == sent_.end()
-                                   ? std::nullopt
-                                   : std::optional(sent->second.vm),
-                               world_.caller().loop().now() - began_});
-            std::cout << "BROKEN " << request.id << ": " << what << std::endl;
+            return;
         }
+        const auto sent = sent_.find(request.id);
+        broken_.push_back({what, request.id,
+                           sent == sent_.end() ? std::nullopt
+                                               : std::optional(sent->second.vm),
+                           at - began_});
+        std::cout << "BROKEN " << request.id << ": " << what << std::endl;
     }
 
     std::size_t broken() const
--- a/tests/soak/request_record.hpp
+++ b/tests/soak/request_record.hpp
@@ -2,6 +2,8 @@
 /// @brief Sends and runs of the requests of a soak.
 #pragma once
 
+#include <siskinflow/core/clock.hpp>
+
 #include <map>
 #include <string>
 #include <vector>
@@ -26,9 +28,16 @@
         return runs_once_at_most_;
     }
 
-    void on_run(const std::string& path)
+    void on_run(const std::string& path, siskinflow::time_point now)
     {
         ++runs_[path];
+        last_run_ = now;
+    }
+
+    /// @brief Begin of the last run.
+    siskinflow::time_point last_run() const
+    {
+        return last_run_;
     }
 
     void on_refused(const std::string& path)
@@ -61,6 +70,7 @@
 
 private:
     bool runs_once_at_most_ = false;
+    siskinflow::time_point last_run_{};
     std::map<std::string, int> runs_;  ///< By path.
     std::vector<std::string> refused_; ///< Paths.
 };
