Let copies meet more requests that are sent again

Instances that share an address get the slots of the target, so that the gateway does use them, and spells are mostly those of targets of orders. Fewer copies of other requests' refusals leave more connections for the requests that return.

--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -204,9 +204,8 @@
 }
 
 void gateway_world::add_entry(const std::string& id, const std::string& service,
-                              std::uint16_t port)
+                              std::uint16_t port, unsigned slots)
 {
-    constexpr unsigned slots = 6;
     write_entry(id, {service, port, slots, "ready"});
 }
 
--- a/tests/soak/copy_faults.hpp
+++ b/tests/soak/copy_faults.hpp
@@ -35,11 +35,10 @@
     /// @brief Begins a spell at a target that has none.
     void strike()
     {
-        standin::platform_target& target =
-            *targets_[random_() % targets_.size()];
+        standin::platform_target& target = draw_target();
         const std::chrono::milliseconds time(
             shortest_spell.count() + random_() % spell_variation.count());
-        const std::uint64_t sharing = random_() % 3;
+        const std::uint64_t sharing = random_() % 4;
         if (!in_spell_.insert(target.id()).second)
         {
             return;
@@ -91,11 +90,29 @@
 private:
     static constexpr std::chrono::milliseconds shortest_spell{2000};
     static constexpr std::chrono::milliseconds spell_variation{3000};
-    static constexpr unsigned copied_per_hundred = 40;
-    static constexpr int added_instances = 3;
-    static constexpr double refused_part = 0.3;
+    static constexpr unsigned copied_per_hundred = 25;
+    static constexpr int added_instances = 5;
+    static constexpr double refused_part = 0.35;
     static constexpr double failed_part = 0.4;
 
+    /// Mostly one of the orders, which may run once only.
+    standin::platform_target& draw_target()
+    {
+        constexpr std::uint64_t orders_per_hundred = 75;
+        const bool orders = random_() % 100 < orders_per_hundred;
+        standin::platform_target* out = nullptr;
+        while (out == nullptr || is_of_orders(*out) != orders)
+        {
+            out = targets_[random_() % targets_.size()];
+        }
+        return *out;
+    }
+
+    static bool is_of_orders(const standin::platform_target& target)
+    {
+        return target.id().starts_with("orders-");
+    }
+
     int sum(std::atomic<int> copy_state::*which) const
     {
         int out = 0;
@@ -127,8 +144,8 @@
         for (int i = 0; i < added_instances; ++i)
         {
             out.push_back(id + "-" + std::to_string(++last_instance_));
-            world_.add_entry(out.back(), service,
-                             world_.target_link(id).port());
+            world_.add_entry(out.back(), service, world_.target_link(id).port(),
+                             target.slots());
         }
         if (restarted)
         {
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -81,7 +81,7 @@
 
     /// @brief Registers a target that the test itself runs on a port.
     void add_entry(const std::string& id, const std::string& service,
-                   std::uint16_t port);
+                   std::uint16_t port, unsigned slots = 6);
 
     /// @brief Removes a target's entry.
     void remove_entry(const std::string& id)
