--- a/tests/unit/gateway_connection_orders_test.cpp
+++ b/tests/unit/gateway_connection_orders_test.cpp
@@ -48,7 +48,7 @@
 // Events of targets
 
 /// Connections of a sequence on which a target acts.
-constexpr std::size_t max_connections = 3;
+constexpr std::size_t max_connections = 4;
 
 using connection_condition = std::function<bool(const target_connection&)>;
 using connection_action = std::function<void(world&, target_connection&)>;
@@ -151,11 +151,14 @@
         number, "two copies of the refusal", has_refused,
         [](world& w, target_connection& c)
         { w.write(c, c.last(true)->bytes + c.last(true)->bytes); }));
-    out.push_back(connection_event(
-        number, "copy of the result",
-        [](const target_connection& c) { return c.last(false) != nullptr; },
-        [](world& w, target_connection& c)
-        { w.write(c, c.last(false)->bytes); }));
+    const auto has_result = [](const target_connection& c)
+    { return c.last(false) != nullptr; };
+    out.push_back(connection_event(number, "copy of the result", has_result,
+                                   [](world& w, target_connection& c)
+                                   { w.write(c, c.last(false)->bytes); }));
+    out.push_back(connection_event(number, "cut copy of the result", has_result,
+                                   [](world& w, target_connection& c)
+                                   { w.write(c, c.last(false)->cut()); }));
 }
 
 void add_faults(std::vector<event>& out, std::size_t number)
@@ -361,7 +364,8 @@
         }
         if (sent.exchange->status / 100 == 2 && !ran)
         {
-            return "MIXED: success for " + sent.id + ", which has not run";
+            return "MIXED: success for " + sent.id +
+                   ", which has not succeeded";
         }
     }
     return {};
@@ -683,10 +687,11 @@
 
 } // namespace
 
-// Each test guards against an order that runs twice, and a promise for an order
-// that may run (TWICE, REFUSED), because of what a target sends on a connection
-// that has carried the same request, or other ones. They differ in the state
-// from which the sequences begin.
+// Each test guards against an order that runs twice, a promise for an order
+// that may run, and a success for one that has not succeeded (TWICE, REFUSED,
+// MIXED), because of what a target sends on a connection that has carried the
+// same request, or other ones. They differ in the state from which the
+// sequences begin.
 
 // Guards against copies of a result that pass for an answer.
 Test(gateway_connection_orders, an_order_after_a_result)
@@ -696,6 +701,14 @@
              {"send order-b", "1: run", "send order-a"}});
 }
 
+// Guards against copies of a failure that pass for an answer.
+Test(gateway_connection_orders, an_order_after_a_failure)
+{
+    explore({"an order after a failure",
+             fleet::one,
+             {"send order-b", "1: run and fail", "send order-a"}});
+}
+
 // Guards against a copy of the first refusal of an order that passes for its
 // second one.
 Test(gateway_connection_orders, a_refused_order_at_another_address)
@@ -814,6 +827,14 @@
                              "1: cut copy of the refusal",
                              "1: run and fail"}) == "");
             });
+    section("failed, behind the copy of the result of another, cut",
+            []
+            {
+                EXPECT(play(fleet::one,
+                            {"send order-b", "1: run", "send order-a",
+                             "1: cut copy of the result", "1: run and fail"}) ==
+                       "");
+            });
     section("repeated after its refusal, which is copied",
             []
             {
