--- a/tests/process/gateway_copies_search_test.cpp
+++ b/tests/process/gateway_copies_search_test.cpp
@@ -1222,10 +1222,10 @@
 
     /// Plays a way for some orders.
     void play(const std::string& name,
-              const std::function<void(broken_counts&)>& way, int plays = 1)
+              const std::function<void(broken_counts&)>& way, int count = 1)
     {
         broken_counts counts;
-        for (int i = 0; i < plays; ++i)
+        for (int i = 0; i < count; ++i)
         {
             way(counts);
         }
@@ -1233,6 +1233,31 @@
         broken_ += counts.total() > 0 ? name + "; " : "";
     }
 
+    /// Plays an order that its caller sends again after the first answer.
+    /// @param others orders between the two
+    void play_again(const std::string& name, first_answer first,
+                    std::chrono::milliseconds pause = {}, int others = 0)
+    {
+        play(
+            name,
+            [&](broken_counts& counts)
+            {
+                begin_again(first);
+                const std::string id = next_id();
+                send(id);
+                EXPECT(until_answered(id, 1));
+                for (int i = 0; i < others; ++i)
+                {
+                    world.call(0, order_of(next_id()));
+                }
+                world.run_for(pause);
+                send(id);
+                EXPECT(until_answered(id, 2));
+                judge(id, counts);
+            },
+            plays);
+    }
+
     void expect_none_broken()
     {
         int repeated = 0;
@@ -1245,6 +1270,9 @@
         EXPECT(repeated == 0);
     }
 
+    /// Orders for each way that is played on the same entries.
+    static constexpr int plays = 2;
+
     gateway_world world;
     std::vector<std::unique_ptr<raw_target>> targets;
 
@@ -1358,40 +1386,17 @@
     play_changes_of_entries(change_time::waiting);
 }
 
-// Guards against an order that its caller sends again under its id, at once or
-// later, after each kind of answer (TWICE, REFUSED).
-Test(gateway_copies_search, ids_return_from_callers)
+// Guards against an order that its caller sends again under its id after a
+// refusal, at once, later or while the first one waits (TWICE, REFUSED).
+Test(gateway_copies_search, a_refused_id_returns)
 {
-    constexpr int plays = 2;
     id_fleet fleet;
-    const auto again = [&](const std::string& name, first_answer first,
-                           std::chrono::milliseconds pause = 0ms,
-                           int others = 0)
-    {
-        fleet.play(
-            name,
-            [&](broken_counts& counts)
-            {
-                fleet.begin_again(first);
-                const std::string id = fleet.next_id();
-                fleet.send(id);
-                EXPECT(fleet.until_answered(id, 1));
-                for (int i = 0; i < others; ++i)
-                {
-                    fleet.world.call(0, fleet.order_of(fleet.next_id()));
-                }
-                fleet.world.run_for(pause);
-                fleet.send(id);
-                EXPECT(fleet.until_answered(id, 2));
-                fleet.judge(id, counts);
-            },
-            plays);
-    };
     fleet.begin(1, first_answer::serve);
-    again("at once after a refusal", first_answer::refuse);
-    again("later after a refusal", first_answer::refuse, ejection_time);
-    again("after a refusal and other orders", first_answer::refuse,
-          ejection_time, 20);
+    fleet.play_again("at once after a refusal", first_answer::refuse);
+    fleet.play_again("later after a refusal", first_answer::refuse,
+                     ejection_time);
+    fleet.play_again("after a refusal and other orders", first_answer::refuse,
+                     ejection_time, 20);
     fleet.play(
         "while the first one waits",
         [&](broken_counts& counts)
@@ -1407,12 +1412,20 @@
             fleet.judge(id, counts, true);
             fleet.waits = false;
         },
-        plays);
+        id_fleet::plays);
+    fleet.expect_none_broken();
+}
+
+// Guards against an order that its caller sends again under its id after it
+// may have run, or twice at once (TWICE, REFUSED).
+Test(gateway_copies_search, an_id_that_may_have_run_returns)
+{
+    id_fleet fleet;
     fleet.begin(3, first_answer::serve);
-    again("at once after a success", first_answer::serve);
-    again("later after a success", first_answer::serve, 300ms);
-    again("at once after a failure", first_answer::fail);
-    again("later after a failure", first_answer::fail, 300ms);
+    fleet.play_again("at once after a success", first_answer::serve);
+    fleet.play_again("later after a success", first_answer::serve, 300ms);
+    fleet.play_again("at once after a failure", first_answer::fail);
+    fleet.play_again("later after a failure", first_answer::fail, 300ms);
     const auto together = [&](const std::string& name, first_answer first,
                               bool refuses_always = false)
     {
@@ -1433,7 +1446,7 @@
                 EXPECT(fleet.until_answered(id, 2));
                 fleet.judge(id, counts, true);
             },
-            plays);
+            id_fleet::plays);
     };
     together("twice at once, the first is refused",
              first_answer::refuse_when_released);
@@ -1460,7 +1473,7 @@
             EXPECT(fleet.until_answered(id, 1));
             fleet.judge(id, counts);
         },
-        plays);
+        id_fleet::plays);
     fleet.expect_none_broken();
 }
 
