Free what an exploration notes before its test fails

A failing assertion jumps out of the function, so the leak check reported the figures. The output is flushed, so that it appears under the sanitizers.

--- a/tests/unit/gateway_connection_orders_test.cpp
+++ b/tests/unit/gateway_connection_orders_test.cpp
@@ -671,9 +671,12 @@
         std::printf("BROKEN %zu %s:\n  %s\n", count, rule.c_str(),
                     figures.shortest.at(rule).second.c_str());
     }
+    std::fflush(stdout);
 }
 
-void explore(const prepared_state& start)
+/// Explores the sequences that begin in a state, and prints the figures.
+/// @return whether all of them keep the rules
+bool holds_after(const prepared_state& start)
 {
     exploration_figures figures;
     const auto began = std::chrono::steady_clock::now();
@@ -681,8 +684,7 @@
     const std::chrono::duration<double> took =
         std::chrono::steady_clock::now() - began;
     print(start, figures, took.count());
-    EXPECT(figures.diverged == 0);
-    EXPECT(figures.all_broken() == 0);
+    return figures.diverged == 0 && figures.all_broken() == 0;
 }
 
 } // namespace
@@ -696,99 +698,101 @@
 // Guards against copies of a result that pass for an answer.
 Test(gateway_connection_orders, an_order_after_a_result)
 {
-    explore({"an order after a result",
-             fleet::one,
-             {"send order-b", "1: run", "send order-a"}});
+    EXPECT(holds_after({"an order after a result",
+                        fleet::one,
+                        {"send order-b", "1: run", "send order-a"}}));
 }
 
 // Guards against copies of a failure that pass for an answer.
 Test(gateway_connection_orders, an_order_after_a_failure)
 {
-    explore({"an order after a failure",
-             fleet::one,
-             {"send order-b", "1: run and fail", "send order-a"}});
+    EXPECT(holds_after({"an order after a failure",
+                        fleet::one,
+                        {"send order-b", "1: run and fail", "send order-a"}}));
 }
 
 // Guards against a copy of the first refusal of an order that passes for its
 // second one.
 Test(gateway_connection_orders, a_refused_order_at_another_address)
 {
-    explore({"a refused order at another address",
-             fleet::two_addresses,
-             {"send order-a", "1: refuse"}});
+    EXPECT(holds_after({"a refused order at another address",
+                        fleet::two_addresses,
+                        {"send order-a", "1: refuse"}}));
 }
 
 // Guards against a refusal that begins with the copy of the refusal of another
 // order and ends with the answer to this one.
 Test(gateway_connection_orders, an_order_after_the_refusal_of_another)
 {
-    explore({"an order after the refusal of another",
-             fleet::one,
-             {"send order-b", "1: refuse", "pause of 700 ms", "send order-a",
-              "entry joins address 2"}});
+    EXPECT(holds_after({"an order after the refusal of another",
+                        fleet::one,
+                        {"send order-b", "1: refuse", "pause of 700 ms",
+                         "send order-a", "entry joins address 2"}}));
 }
 
 // Guards against a copy of the refusal of an order that its caller has sent
 // again.
 Test(gateway_connection_orders, a_refused_order_that_is_repeated)
 {
-    explore({"a refused order that is repeated",
-             fleet::one,
-             {"send order-a", "1: refuse", "pause of 700 ms", "send order-a"}});
+    EXPECT(holds_after(
+        {"a refused order that is repeated",
+         fleet::one,
+         {"send order-a", "1: refuse", "pause of 700 ms", "send order-a"}}));
 }
 
 // Guards against an order that is sent again to another entry of the address
 // that has refused it.
 Test(gateway_connection_orders, three_entries_of_one_address)
 {
-    explore({"three entries of one address",
-             fleet::three_at_one_address,
-             {"send order-a", "1: refuse", "2: refuse"}});
+    EXPECT(holds_after({"three entries of one address",
+                        fleet::three_at_one_address,
+                        {"send order-a", "1: refuse", "2: refuse"}}));
 }
 
 // Guards against an order that is sent again to the address of the target that
 // it has missed, and then to another one.
 Test(gateway_connection_orders, a_misdirected_order)
 {
-    explore({"a misdirected order",
-             fleet::two_at_one_of_two_addresses,
-             {"send order-a", "1: misdirected"}});
+    EXPECT(holds_after({"a misdirected order",
+                        fleet::two_at_one_of_two_addresses,
+                        {"send order-a", "1: misdirected"}}));
 }
 
 // Guards against the answer to one of two orders that ends the other one.
 Test(gateway_connection_orders, two_orders_under_way)
 {
-    explore({"two orders under way",
-             fleet::two_addresses,
-             {"send order-a", "send order-b"}});
+    EXPECT(holds_after({"two orders under way",
+                        fleet::two_addresses,
+                        {"send order-a", "send order-b"}}));
 }
 
 // Guards against an order that waits for room, and is sent on the connection of
 // the request that has made it.
 Test(gateway_connection_orders, an_order_that_waits)
 {
-    explore({"an order that waits",
-             fleet::one_slot,
-             {"send order-b", "send lookup", "send order-a"}});
+    EXPECT(holds_after({"an order that waits",
+                        fleet::one_slot,
+                        {"send order-b", "send lookup", "send order-a"}}));
 }
 
 // Guards against a lookup whose answers pass for those of an order on the same
 // connection.
 Test(gateway_connection_orders, an_order_after_a_lookup)
 {
-    explore({"an order after a lookup",
-             fleet::one,
-             {"send lookup", "1: refuse", "pause of 700 ms", "send order-a"}});
+    EXPECT(holds_after(
+        {"an order after a lookup",
+         fleet::one,
+         {"send lookup", "1: refuse", "pause of 700 ms", "send order-a"}}));
 }
 
 // Guards against an order that goes to the next target at an address, on a
 // connection to the previous one.
 Test(gateway_connection_orders, an_entry_that_is_replaced)
 {
-    explore(
+    EXPECT(holds_after(
         {"an entry that is replaced",
          fleet::one,
-         {"send order-a", "1: refuse", "entry is replaced", "send order-b"}});
+         {"send order-a", "1: refuse", "entry is replaced", "send order-b"}}));
 }
 
 // Guards against the return of the shortest sequences that broke a rule at
