--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -300,8 +300,15 @@
 bool request_flow::place_waiting()
 {
     const auto permission = attempts_->may_send(route_->idempotent);
+    if (!permission)
+    {
+        // Another request of its id was sent or refused meanwhile.
+        end_unserved(refusal_reason::target_refused,
+                     failure_reason::sent_before, std::nullopt);
+        return true;
+    }
     const choice_outcome outcome = choose();
-    if (!permission || !outcome.choice)
+    if (!outcome.choice)
     {
         return false;
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -41,7 +41,7 @@
     void start();
 
     /// @brief Tries to place a waiting request.
-    /// @return whether it was placed
+    /// @return whether it waits no more
     bool place_waiting();
 
     /// @brief Places the request again if it was placed on a target and has not
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -66,7 +66,8 @@
     h2o_socketpool_init_by_address(&native_, address.value().get(),
                                    address.value().length, 0, native_capacity);
     // In place of `h2o_socketpool_set_timeout`, which also starts a timer for
-    // each pool. h2o needs the loop for its time when it looks for the socket.
+    // each pool. h2o 2.2 reads the loop's time when it looks for the socket,
+    // and stops the timer with the pool only if the loop is set.
     native_.timeout = native_timeout_ms;
     native_._interval_cb.loop = loop;
 }
