--- a/include/siskinflow/siskinflow.hpp
+++ b/include/siskinflow/siskinflow.hpp
@@ -20,6 +20,7 @@
 #include <siskinflow/control/codec.hpp>
 #include <siskinflow/control/message_type.hpp>
 #include <siskinflow/core/clock.hpp>
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/core/error.hpp>
 #include <siskinflow/core/ids.hpp>
 #include <siskinflow/core/state_chart.hpp>
@@ -37,6 +38,7 @@
 #include <siskinflow/fleet/messages.hpp>
 #include <siskinflow/fleet/topology.hpp>
 #include <siskinflow/fleet/vm_list.hpp>
+#include <siskinflow/net/answer_position.hpp>
 #include <siskinflow/net/endpoint.hpp>
 #include <siskinflow/net/event_loop.hpp>
 #include <siskinflow/net/http_client.hpp>
--- a/tests/unit/gateway_limits_test.cpp
+++ b/tests/unit/gateway_limits_test.cpp
@@ -377,3 +377,19 @@
                 });
     }
 }
+
+// Guards against keys that are accepted by a configuration which the store has
+// not confirmed for longer than the limit (CONFIG, ROUTE).
+Test(gateway_limits, age_of_the_configuration)
+{
+    constexpr duration limit = 5s;
+    section("with a limit",
+            [&]
+            {
+                const auto rule = gateway::make_key_acceptance(limit);
+                EXPECT(rule->accepts_keys(limit));
+                EXPECT(!rule->accepts_keys(limit + 1ms));
+            });
+    section("without one", [&]
+            { EXPECT(gateway::make_key_acceptance({})->accepts_keys(1h)); });
+}
