--- a/src/gateway/attempt_history.cpp
+++ b/src/gateway/attempt_history.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/gateway/attempt_history.hpp>
 
 #include <array>
@@ -42,14 +43,12 @@
 
 std::string_view name(attempt_result value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < result_names.size() ? result_names[index] : "unknown";
+    return enum_name(result_names, value);
 }
 
 std::string_view name(not_run_reason value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < reason_names.size() ? reason_names[index] : "unknown";
+    return enum_name(reason_names, value);
 }
 
 void attempt_history::on_started(send_permission /*permission*/)
--- a/src/gateway/object_scope.cpp
+++ b/src/gateway/object_scope.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/gateway/object_scope.hpp>
 
 #include <algorithm>
@@ -23,8 +24,7 @@
 
 std::string_view name(object_scope scope) noexcept
 {
-    const auto index = static_cast<std::size_t>(scope);
-    return index < scope_names.size() ? scope_names[index] : "unknown";
+    return enum_name(scope_names, scope);
 }
 
 object_scope choose_scope(const scope_inputs& inputs, double max_region_bytes)
--- a/src/gateway/policy_rows.cpp
+++ b/src/gateway/policy_rows.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/gateway/policy_rows.hpp>
 
 #include <algorithm>
@@ -81,14 +82,12 @@
 
 std::string_view name(policy_table table) noexcept
 {
-    const auto index = static_cast<std::size_t>(table);
-    return index < table_names.size() ? table_names[index] : "unknown";
+    return enum_name(table_names, table);
 }
 
 std::string_view name(row_handling handling) noexcept
 {
-    const auto index = static_cast<std::size_t>(handling);
-    return index < handling_names.size() ? handling_names[index] : "unknown";
+    return enum_name(handling_names, handling);
 }
 
 void keep_rows_in_force(policy_document& document, const policy* in_force)
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -1,4 +1,5 @@
 #include "request_flow.hpp"
+#include <siskinflow/core/enum_name.hpp>
 
 #include <algorithm>
 #include <array>
@@ -24,8 +25,7 @@
 
 std::string_view name(failure_reason value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < failure_names.size() ? failure_names[index] : "unknown";
+    return enum_name(failure_names, value);
 }
 
 void request_flow::on_deadline()
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/core/ids.hpp>
 #include <siskinflow/gateway/target_chooser.hpp>
 
@@ -36,8 +37,7 @@
 
 std::string_view name(choice_failure value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < failure_names.size() ? failure_names[index] : "unknown";
+    return enum_name(failure_names, value);
 }
 
 target_chooser::target_chooser(target_directory& targets, placement_costs costs)
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "client_connection.hpp"
 
+#include <siskinflow/core/enum_name.hpp>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -47,14 +49,12 @@
 
 std::string_view name(connection_state value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < state_names.size() ? state_names[index] : "unknown";
+    return enum_name(state_names, value);
 }
 
 std::string_view name(connection_event value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < event_names.size() ? event_names[index] : "unknown";
+    return enum_name(event_names, value);
 }
 
 client_connection::client_connection(const endpoint& peer, std::uint64_t number,
--- a/tests/process/gateway_copies_review_test.cpp
+++ b/tests/process/gateway_copies_review_test.cpp
@@ -1,5 +1,4 @@
-#include "gateway_world.hpp"
-#include "raw_target.hpp"
+#include "copies_fleet.hpp"
 #include "test_sections.hpp"
 #include <siskinflow/net/http_client.hpp>
 
@@ -11,43 +10,11 @@
 
 using namespace siskinflow;
 using namespace std::chrono_literals;
-using test_sections::section;
+using namespace copies;
 
 namespace
 {
 
-const std::string id_field = "siskinflow-request-id: ";
-
-std::string success(const std::string& id)
-{
-    return "HTTP/1.1 200 OK\r\n" + id_field + id +
-           "\r\nsiskinflow-response-signature: signed\r\n"
-           "content-length: 2\r\n\r\nok";
-}
-
-std::string failure(const std::string& id)
-{
-    return "HTTP/1.1 500 Internal Server Error\r\n" + id_field + id +
-           "\r\ncontent-length: 0\r\n\r\n";
-}
-
-std::string refusal(const std::string& id)
-{
-    return "HTTP/1.1 503 Service Unavailable\r\n"
-           "siskinflow-not-executed: 1\r\n" +
-           id_field + id + "\r\ncontent-length: 0\r\n\r\n";
-}
-
-caller_request order(const std::string& id)
-{
-    caller_request out;
-    out.path = "/orders/1";
-    out.method = "POST";
-    out.object = id;
-    out.id = id;
-    return out;
-}
-
 /// Calls a raw target and waits for the end of the call.
 net::fetch_result call(net::http_client& client, net::event_loop& loop,
                        std::uint16_t port, const std::string& method,
