--- /dev/null
+++ b/tests/soak/request_record.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// @brief Sends and runs of the requests of a soak.
+#pragma once
+
+#include <siskinflow/core/clock.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace soak
+{
+
+/// @brief One request over all sends of it. A caller may send it again under
+/// its id after it was refused; the path, with its query, tells the sends
+/// apart.
+class request_record
+{
+public:
+    /// @brief The request is an order, which is judged.
+    void set_runs_once_at_most()
+    {
+        runs_once_at_most_ = true;
+    }
+
+    bool runs_once_at_most() const
+    {
+        return runs_once_at_most_;
+    }
+
+    void on_run(const std::string& path, siskinflow::time_point now)
+    {
+        ++runs_[path];
+        last_run_ = now;
+    }
+
+    /// @brief Begin of the last run.
+    siskinflow::time_point last_run() const
+    {
+        return last_run_;
+    }
+
+    void on_refused(const std::string& path)
+    {
+        refused_.push_back(path);
+    }
+
+    int runs() const
+    {
+        int out = 0;
+        for (const auto& [path, count] : runs_)
+        {
+            out += count;
+        }
+        return out;
+    }
+
+    /// @brief Whether a send has run that was refused as not run.
+    bool ran_though_refused() const
+    {
+        for (const std::string& path : refused_)
+        {
+            if (runs_.count(path) != 0)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    bool runs_once_at_most_ = false;
+    siskinflow::time_point last_run_{};
+    std::map<std::string, int> runs_;  ///< By path.
+    std::vector<std::string> refused_; ///< Paths.
+};
+
+} // namespace soak
