Count runs of raw targets in one place, and tidy names and a comment

The fleets of gateway_copies and of its search counted runs and repeated requests with the same two loops; placement had the last copy of the look-up of names in the gateway; client_connection included a header that it does not use. The comment of keeps_connection says why a failure closes as well.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/enum_name.hpp>
 #include <siskinflow/gateway/placement.hpp>
 
 #include <algorithm>
@@ -123,9 +124,7 @@
 
 std::string_view name(object_state value) noexcept
 {
-    const auto index = static_cast<std::size_t>(value);
-    return index < object_state_names.size() ? object_state_names[index]
-                                             : "unknown";
+    return enum_name(object_state_names, value);
 }
 
 duration expected_completion(const candidate& option, const work_time& work,
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -198,8 +198,8 @@
 }
 
 /// Copies of an answer may follow it on its connection, whole or cut so that
-/// they run into the next head. Those of a request that was served can't pass
-/// for a refusal.
+/// they run into the next head. Only those of a request that was served can't
+/// pass for a refusal; a failure may be a refusal that is not believed.
 bool request_flow::keeps_connection() const
 {
     return !answer_fields_.not_run &&
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 #include <utility>
 
 namespace siskinflow::net
--- a/tests/process/gateway_copies_search_test.cpp
+++ b/tests/process/gateway_copies_search_test.cpp
@@ -663,22 +663,12 @@
 
     int runs(const std::string& id) const
     {
-        int out = 0;
-        for (const auto& target : targets)
-        {
-            out += target->runs(id);
-        }
-        return out;
+        return runs_at(targets, id);
     }
 
     int repeated_on_connection() const
     {
-        int out = 0;
-        for (const auto& target : targets)
-        {
-            out += target->repeated_on_connection();
-        }
-        return out;
+        return repeats_at(targets);
     }
 
     caller_request next_request(traffic kind)
--- a/tests/support/copies_fleet.hpp
+++ b/tests/support/copies_fleet.hpp
@@ -112,6 +112,30 @@
     std::map<connection, std::set<std::string>> by_connection_;
 };
 
+using raw_targets = std::vector<std::unique_ptr<raw_target>>;
+
+/// @brief Runs of a request id at some targets.
+inline int runs_at(const raw_targets& targets, const std::string& id)
+{
+    int out = 0;
+    for (const auto& target : targets)
+    {
+        out += target->runs(id);
+    }
+    return out;
+}
+
+/// @brief Requests that came to a connection of some targets once more.
+inline int repeats_at(const raw_targets& targets)
+{
+    int out = 0;
+    for (const auto& target : targets)
+    {
+        out += target->repeated_on_connection();
+    }
+    return out;
+}
+
 /// A gateway and raw targets of the orders, each with an address of its own.
 struct raw_fleet
 {
@@ -134,22 +158,12 @@
 
     int runs(const std::string& id) const
     {
-        int out = 0;
-        for (const auto& target : targets)
-        {
-            out += target->runs(id);
-        }
-        return out;
+        return runs_at(targets, id);
     }
 
     int repeated_on_connection() const
     {
-        int out = 0;
-        for (const auto& target : targets)
-        {
-            out += target->repeated_on_connection();
-        }
-        return out;
+        return repeats_at(targets);
     }
 
     /// Sends orders and counts those that break a promise: each runs once at
