Share load reports of targets inside a failure domain

Change: reports go out with the state messages of the domain and replace older ones; the reported pace scales the work time; the late chance rises evenly around the forecast; requests without room at home make the part that leaves the region grow, and a few leave at once.

--- a/include/siskinflow/control/message_type.hpp
+++ b/include/siskinflow/control/message_type.hpp
@@ -39,6 +39,7 @@
     store_changes = 18,
     store_confirmation = 19,
     target_leaving = 20,
+    peer_report = 21,
 };
 
 /// @brief Name of a message type in snake_case, "unknown" if undefined.
--- a/include/siskinflow/gateway/message_codec.hpp
+++ b/include/siskinflow/gateway/message_codec.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <siskinflow/core/clock.hpp>
+#include <siskinflow/gateway/load/load_report.hpp>
 #include <siskinflow/gateway/targets.hpp>
 #include <siskinflow/net/endpoint.hpp>
 #include <siskinflow/net/http_server.hpp>
--- a/include/siskinflow/gateway/peers.hpp
+++ b/include/siskinflow/gateway/peers.hpp
@@ -10,6 +10,7 @@
 #include <siskinflow/control/message_type.hpp>
 #include <siskinflow/core/clock.hpp>
 #include <siskinflow/core/error.hpp>
+#include <siskinflow/gateway/load/load_sharing.hpp>
 #include <siskinflow/net/endpoint.hpp>
 
 #include <cstdint>
@@ -27,6 +28,7 @@
 {
     direct = 1, ///< Each VM sends its state to every other VM.
     domain = 2, ///< Domains exchange sums; see `domain_state`.
+    loads = 3,  ///< VMs of a domain share load reports; see `peer_report`.
 };
 
 /// @brief A VM's own entry in the store.
@@ -37,7 +39,7 @@
     std::string failure_domain;
     net::endpoint requests; ///< Address for callers.
     net::endpoint peers;    ///< UDP address for other VMs.
-    peer_protocol protocol = peer_protocol::domain;
+    peer_protocol protocol = peer_protocol::loads;
 
     bool operator==(const vm_record&) const = default;
 };
@@ -80,6 +82,32 @@
     }
 };
 
+/// @brief State of a VM together with the load reports that it received from
+/// targets since its last message, for the VMs of its failure domain.
+struct peer_report
+{
+    static constexpr control::message_type type =
+        control::message_type::peer_report;
+
+    std::string vm;
+    bool serving = false;                   ///< Accepts new callers.
+    std::vector<organisation_usage> usages; ///< Those with recent requests.
+    std::vector<shared_load> loads;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(vm, serving, usages, loads);
+    }
+};
+
+/// @brief Form in which a VM gets another VM's state.
+enum class state_form : std::uint8_t
+{
+    plain,      ///< `peer_state`
+    with_loads, ///< `peer_report`
+};
+
 /// @brief Tells the VMs of the failure domain that a target is leaving.
 struct target_leaving
 {
@@ -208,7 +236,8 @@
 
     /// @brief Message addresses of the VMs that get this VM's own state: those
     /// of its failure domain, and those that do not understand sums.
-    std::vector<net::endpoint> direct_peers() const;
+    /// @param form only the VMs that get it in this form
+    std::vector<net::endpoint> direct_peers(state_form form) const;
 
     /// @brief Message addresses of the VMs of this failure domain to which the
     /// state of another domain is passed on.
--- a/include/siskinflow/gateway/region_split.hpp
+++ b/include/siskinflow/gateway/region_split.hpp
@@ -42,6 +42,19 @@
     /// evenly
     bool use_other_region(std::optional<std::uint64_t> object);
 
+    /// @brief Records that a request found no room in its own region. The
+    /// fraction grows as if the region were fully utilized: the targets of its
+    /// object are full before all of them are.
+    void on_no_room(time_point now);
+
+    /// @brief Whether a request without room may leave the regions that the
+    /// fraction assigns it to. Few may, as they add to the change of the
+    /// fraction.
+    bool may_overflow() const;
+
+    /// @brief Records a request that did.
+    void on_overflow();
+
     /// @brief Fraction of requests that go to other regions, from 0 to 1.
     double other_region_fraction() const
     {
@@ -60,7 +73,9 @@
     /// Sum of the fraction over requests without an object; one of them goes to
     /// another region each time it reaches 1.
     double fractional_requests_ = 0;
+    double overflow_allowance_ = 0; ///< Requests that may overflow now.
     time_point updated_{};
+    time_point no_room_at_{}; ///< Last request without room.
 };
 
 } // namespace siskinflow::gateway
--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -25,6 +25,9 @@
     std::function<bool(std::string_view region)> region_allowed;
     std::span<const std::string> excluded; ///< Ids of targets already tried.
     bool prefer_other_regions = false;     ///< Try other regions first.
+    /// Use the regions that are not preferred if the preferred ones have no
+    /// room and the others can answer on time.
+    bool may_overflow = false;
     work_time work;
     remaining_time remaining;
 };
@@ -34,6 +37,7 @@
 {
     target_ptr chosen;
     placement place;
+    bool overflow = false; ///< Because the preferred regions had no room.
 };
 
 /// @brief Why no target was chosen.
@@ -91,6 +95,9 @@
     std::vector<candidate>
     candidates(const std::vector<ranked_target>& ranked_targets,
                const choice_request& request, time_point now);
+    std::optional<placement>
+    place_overflow(std::span<const candidate> overflow,
+                   const choice_request& request) const;
 
     target_directory& targets_;
     placement_costs costs_;
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -5,6 +5,7 @@
 #include <siskinflow/budget/bucket.hpp>
 #include <siskinflow/core/clock.hpp>
 #include <siskinflow/gateway/attempt_result.hpp>
+#include <siskinflow/gateway/load/load_sharing.hpp>
 #include <siskinflow/gateway/object_scope.hpp>
 #include <siskinflow/gateway/placement.hpp>
 #include <siskinflow/gateway/target_record.hpp>
@@ -22,14 +23,6 @@
 namespace siskinflow::gateway
 {
 
-/// @brief Load that a target reports with its answers.
-struct load_report
-{
-    unsigned running = 0;
-    unsigned waiting = 0;
-    unsigned slots = 0;
-};
-
 /// @brief What a target has said about the requests that it wants. It holds
 /// for one incarnation, also while its registration is missing or says
 /// otherwise.
@@ -89,12 +82,17 @@
         return answered_at_;
     }
 
-    /// @brief Ratio of the target's measured work time to its service's.
-    double slowness() const
+    /// @brief Expected ratio of the target's work time to its service's: the
+    /// measured one, and the pace that the target reported, as far as the
+    /// report is recent.
+    double slowness(time_point now) const
     {
-        return slowness_;
+        return slowness_ * pace(now);
     }
 
+    /// @brief Pace that the target reported, 1 if there is no recent report.
+    double pace(time_point now) const;
+
     /// @brief Whether the target is still warming up and limited to a low rate.
     bool cold(time_point now) const
     {
@@ -136,10 +134,17 @@
     /// @brief Records the end of a request.
     void on_ended(attempt_result result, time_point now);
 
-    /// @brief Applies a load report.
+    /// @brief Applies a load report of an answer to this VM.
     /// @return the load from other VMs according to the report
     double on_load(const load_report& report, time_point now);
 
+    /// @brief Applies a load report that another VM has received, unless a
+    /// newer one is known.
+    /// @return the load from other VMs according to the report; empty if it
+    /// was not applied
+    std::optional<double> on_shared_load(const load_report& report,
+                                         time_point reported_at);
+
     /// @brief Sets the remaining warm-up time that the target reported.
     void on_warm_up_left(duration left, time_point now);
 
@@ -154,13 +159,16 @@
 
 private:
     void on_failure(bool not_reached, time_point now);
+    void set_load(double peer_load, const load_report& report,
+                  time_point reported_at);
 
     target_record record_;
     unsigned in_flight_ = 0;
     bool tried_ = false;
     double peer_load_ = 0; ///< From other VMs, at `load_reported_at_`.
     time_point load_reported_at_{};
-    double slowness_ = 1;
+    double pace_ = 1;     ///< At `load_reported_at_`.
+    double slowness_ = 1; ///< Measured, without the pace of the moment.
     time_point answered_at_{};
     time_point cold_until_{};
     bucket cold_bucket_;
@@ -278,6 +286,9 @@
     /// @brief Applies a load report to a target and to its service's average.
     void on_load(target& entry, const load_report& report, time_point now);
 
+    /// @brief Applies the load reports that another VM has received.
+    void on_shared_loads(const std::vector<shared_load>& loads, time_point now);
+
     /// @brief Average load from other VMs at a target of a service.
     double average_peer_load(const std::string& service) const;
 
@@ -304,10 +315,12 @@
     };
 
     void keep_wish(const std::string& id, const kept_wish& kept);
+    void observe_average(const target& entry, double load_of_others);
     void remove_from_domain(const target_record& record);
 
     vm_location vm_location_;
     std::unordered_map<std::string, target_ptr> by_id_;
+    std::unordered_map<std::uint32_t, target_ptr> by_number_;
     std::unordered_map<std::string, std::vector<target_ptr>> by_service_;
     /// Number of targets of each service by failure domain.
     std::unordered_map<std::string, std::map<std::string, std::size_t>>
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -5,6 +5,7 @@
 #include <siskinflow/admission/retry_budget.hpp>
 #include <siskinflow/gateway/gateway_settings.hpp>
 #include <siskinflow/gateway/key_acceptance.hpp>
+#include <siskinflow/gateway/load/load_sharing.hpp>
 #include <siskinflow/gateway/message_codec.hpp>
 #include <siskinflow/gateway/order_histories.hpp>
 #include <siskinflow/gateway/peers.hpp>
@@ -58,6 +59,7 @@
     target_directory targets;
     target_chooser chooser;
     peer_table peers;
+    load_outbox load_reports; ///< For the VMs of the failure domain.
     std::unordered_map<std::string, rate_share> shares; ///< By organisation.
     /// Organisations with a rate limit, by their number in peer messages.
     std::unordered_map<std::uint32_t, std::string> organisation_by_number;
--- a/src/gateway/message_parts.hpp
+++ b/src/gateway/message_parts.hpp
@@ -15,6 +15,12 @@
 
 inline void prepare_further_part(peer_state& /*message*/) {}
 
+/// @brief Leaves out what the first part has said.
+inline void prepare_further_part(peer_report& message)
+{
+    message.loads.clear();
+}
+
 /// @brief Leaves out what the first part has said.
 inline void prepare_further_part(domain_state& message)
 {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -97,13 +97,17 @@
     next_state_at_ = state_.now() + state_.peers.message_interval();
     state_.peers.expire(state_.now());
     state_.update_shares();
-    peer_state message;
-    message.vm = state_.settings.self.name;
-    message.serving = ready_();
+    const auto usages =
+        select_usages(selection::active, &rate_share::report, sent_own_);
+    const std::string& self = state_.settings.self.name;
     send_in_parts(
-        message,
-        select_usages(selection::active, &rate_share::report, sent_own_),
-        state_.peers.direct_peers());
+        peer_report{self, ready_(), {}, state_.load_reports.take(state_.now())},
+        usages, state_.peers.direct_peers(state_form::with_loads));
+    const auto plain_peers = state_.peers.direct_peers(state_form::plain);
+    if (!plain_peers.empty())
+    {
+        send_in_parts(peer_state{self, ready_(), {}}, usages, plain_peers);
+    }
 }
 
 std::vector<organisation_usage> peer_exchange::select_usages(
@@ -248,6 +252,9 @@
     case control::message_type::target_leaving:
         decode_and_apply<target_leaving>(envelope.value(), payload.size());
         break;
+    case control::message_type::peer_report:
+        decode_and_apply<peer_report>(envelope.value(), payload.size());
+        break;
     default:
         decode_and_apply<peer_state>(envelope.value(), payload.size());
         break;
@@ -276,17 +283,31 @@
 
 void peer_exchange::apply(const peer_state& message,
                           const incarnation_id& sender)
+{
+    apply_state(message.vm, message.serving, message.usages, sender);
+}
+
+void peer_exchange::apply(const peer_report& message,
+                          const incarnation_id& sender)
+{
+    apply_state(message.vm, message.serving, message.usages, sender);
+    state_.targets.on_shared_loads(message.loads, state_.now());
+}
+
+void peer_exchange::apply_state(const std::string& vm, bool serving,
+                                const std::vector<organisation_usage>& usages,
+                                const incarnation_id& sender)
 {
     const time_point now = state_.now();
-    const vm_record* record = state_.peers.find(message.vm);
+    const vm_record* record = state_.peers.find(vm);
     if (record == nullptr)
     {
         return; // Its counts may already be part of a domain's sum.
     }
-    state_.peers.on_heard(message.vm, message.serving, now);
-    report_source source{message.vm, scope_of(*record, state_.settings.self),
+    state_.peers.on_heard(vm, serving, now);
+    report_source source{vm, scope_of(*record, state_.settings.self),
                          sender.low, std::nullopt};
-    heard_vm& heard = heard_[message.vm];
+    heard_vm& heard = heard_[vm];
     if (heard.incarnation == sender.low)
     {
         source.since_previous = now - heard.at;
@@ -296,7 +317,7 @@
                           state_.peers.summed_up(*record);
     if (!in_a_sum)
     {
-        apply_usages(message.usages, source);
+        apply_usages(usages, source);
     }
 }
 
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -78,6 +78,10 @@
     void decode_and_apply(const control::envelope& envelope, std::size_t bytes);
     void drop(const error& reason, std::size_t bytes);
     void apply(const peer_state& message, const incarnation_id& sender);
+    void apply(const peer_report& message, const incarnation_id& sender);
+    void apply_state(const std::string& vm, bool serving,
+                     const std::vector<organisation_usage>& usages,
+                     const incarnation_id& sender);
     void apply(domain_state message, const incarnation_id& sender);
     void apply(const store_confirmation& message, const incarnation_id& sender);
     void apply(const target_leaving& message, const incarnation_id& sender);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -64,14 +64,19 @@
     return net::parse_endpoint(text.value());
 }
 
-/// Records without the field were written before there were sums.
+/// Records without the field were written before there were sums. A version
+/// after this build's understands all of its messages.
 peer_protocol protocol_field(const json& document)
 {
+    constexpr auto latest = static_cast<std::uint64_t>(peer_protocol::loads);
     const auto found = document.find("protocol");
-    const bool sums = found != document.end() && found->is_number_unsigned() &&
-                      found->get<std::uint64_t>() >=
-                          static_cast<std::uint64_t>(peer_protocol::domain);
-    return sums ? peer_protocol::domain : peer_protocol::direct;
+    if (found == document.end() || !found->is_number_unsigned() ||
+        found->get<std::uint64_t>() == 0)
+    {
+        return peer_protocol::direct;
+    }
+    return static_cast<peer_protocol>(
+        std::min(found->get<std::uint64_t>(), latest));
 }
 
 } // namespace
@@ -296,12 +301,19 @@
     count_domain();
 }
 
-std::vector<net::endpoint> peer_table::direct_peers() const
+std::vector<net::endpoint> peer_table::direct_peers(state_form form) const
 {
     std::vector<net::endpoint> out;
     for (const auto& [name, entry] : peers_)
     {
-        if (in_own_domain(entry.record) || !summed_up(entry.record))
+        const state_form understood =
+            in_own_domain(entry.record) &&
+                    entry.record.protocol >= peer_protocol::loads
+                ? state_form::with_loads
+                : state_form::plain;
+        const bool direct =
+            in_own_domain(entry.record) || !summed_up(entry.record);
+        if (direct && understood == form)
         {
             out.push_back(entry.record.peers);
         }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -17,8 +17,12 @@
 /// Fraction of cold work among the requests queued at a target.
 constexpr double cold_share_of_queue = 0.3;
 
+/// Relative deviation from its forecast within which a completion time may
+/// fall on either side of a limit. Without it, a target whose forecast is just
+/// inside the objective is preferred to one that is nearly always in time.
+constexpr double forecast_spread = 0.25;
 /// Chance of being late up to which a request may queue at a target.
-constexpr double acceptable_late_chance = 0.6;
+constexpr double acceptable_late_chance = 0.5;
 /// Utilization above which late requests go only to the first targets of their
 /// object. Cold work takes three times the slots of warm work; spread over all
 /// targets, it would leave none of them warm for the next request.
@@ -61,6 +65,19 @@
     return duration::zero();
 }
 
+/// Probability that a completion time exceeds a limit. It rises evenly around
+/// the forecast.
+double overrun_chance(duration forecast, duration limit)
+{
+    if (limit <= duration::zero())
+    {
+        return 1;
+    }
+    const double ratio = to_seconds(forecast) / to_seconds(limit);
+    return std::clamp((ratio - (1 - forecast_spread)) / (2 * forecast_spread),
+                      0.0, 1.0);
+}
+
 /// Completion time for a warm and for a cold target.
 struct forecast
 {
@@ -75,9 +92,8 @@
     /// Probability that the answer comes after a limit.
     double late_chance(double warm_chance, duration limit) const
     {
-        const double if_warm = warm > limit ? warm_chance : 0;
-        const double if_cold = cold > limit ? 1 - warm_chance : 0;
-        return if_warm + if_cold;
+        return warm_chance * overrun_chance(warm, limit) +
+               (1 - warm_chance) * overrun_chance(cold, limit);
     }
 };
 
--- a/src/gateway/region_split.cpp
+++ b/src/gateway/region_split.cpp
@@ -18,6 +18,12 @@
 /// Utilization by which the other regions must be lower for the fraction to
 /// grow.
 constexpr double min_utilization_difference = 0.1;
+/// Time without a request that found no room after which the fraction may
+/// shrink.
+constexpr duration room_time = std::chrono::seconds(2);
+/// Share of the requests that may overflow, and how many at once.
+constexpr double overflow_share = 0.03;
+constexpr double max_overflow_allowance = 3;
 /// Relative loss of slots between two updates from which the fraction is
 /// adjusted immediately.
 constexpr double sudden_slot_loss = 0.1;
@@ -57,11 +63,15 @@
     local_slots_ = load.local_slots;
     const double local = utilization(load.local_load, load.local_slots);
     const double remote = utilization(load.remote_load, load.remote_slots);
-    if (local > high_utilization && remote < local - min_utilization_difference)
+    const bool short_of_room = now - no_room_at_ < room_time;
+    const double pressure =
+        short_of_room ? std::max(local, high_utilization) : local;
+    if ((short_of_room || local > high_utilization) &&
+        remote < pressure - min_utilization_difference)
     {
         other_region_fraction_ += change;
     }
-    else if (local < low_utilization || remote > local)
+    else if (local < low_utilization || remote > pressure)
     {
         other_region_fraction_ -= change;
     }
@@ -69,8 +79,25 @@
                                         load.remote_slots > 0 ? 1.0 : 0.0);
 }
 
+void region_split::on_no_room(time_point now)
+{
+    no_room_at_ = now;
+}
+
+bool region_split::may_overflow() const
+{
+    return overflow_allowance_ >= 1;
+}
+
+void region_split::on_overflow()
+{
+    overflow_allowance_ -= 1;
+}
+
 bool region_split::use_other_region(std::optional<std::uint64_t> object)
 {
+    overflow_allowance_ =
+        std::min(overflow_allowance_ + overflow_share, max_overflow_allowance);
     if (object)
     {
         constexpr std::uint64_t hash_buckets = 10000;
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -257,6 +257,8 @@
     if (answer_fields_.load)
     {
         state_.targets.on_load(*target_, *answer_fields_.load, now);
+        state_.load_reports.record(target_->record().id, *answer_fields_.load,
+                                   now);
     }
     if (answer_fields_.warm_up_left)
     {
@@ -276,6 +278,9 @@
         work_duration -=
             std::min(work_duration, placement_costs{}.region_round_trip);
     }
+    // Other work on the target's machine says nothing about the object.
+    work_duration = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(work_duration) / target_->pace(now));
     work_estimate& work = state_.work(*route_, service_);
     warm_chance& chance = state_.targets.locations(service_).warm_chances();
     const double expected = chance.estimate(placement_.object, placement_.rank);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -197,6 +197,7 @@
     { return region_allowed(region); };
     request.excluded = tried_targets_;
     request.prefer_other_regions = prefer_other_regions_;
+    request.may_overflow = state_.split(service_).may_overflow();
     request.work = state_.work(*route_, service_).current();
     request.remaining = remaining();
     return request;
@@ -204,7 +205,20 @@
 
 choice_outcome request_flow::choose()
 {
-    return state_.chooser.choose(choice_parameters(), state_.now());
+    const time_point now = state_.now();
+    const choice_outcome out = state_.chooser.choose(choice_parameters(), now);
+    region_split& split = state_.split(service_);
+    const bool no_room = !out.choice && out.failure == choice_failure::no_room;
+    const bool overflow = out.choice && out.choice->overflow;
+    if (!prefer_other_regions_ && (no_room || overflow))
+    {
+        split.on_no_room(now);
+    }
+    if (overflow)
+    {
+        split.on_overflow();
+    }
+    return out;
 }
 
 /// Time until room is expected, at the earliest when a target that the request
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -150,7 +150,6 @@
         targets_.average_peer_load(std::string(request.service));
     std::vector<candidate> out;
     out.reserve(ranked_targets.size());
-    bool preferred_region_admits = false;
     for (std::size_t i = 0; i < ranked_targets.size(); ++i)
     {
         target& entry = *ranked_targets[i].entry;
@@ -158,17 +157,13 @@
         {
             continue;
         }
-        preferred_region_admits =
-            preferred_region_admits ||
-            is_in_other_region(ranked_targets[i].target_distance) ==
-                request.prefer_other_regions;
         candidate option;
         option.target = static_cast<std::uint32_t>(i);
         option.target_distance = ranked_targets[i].target_distance;
         option.rank = request.object ? static_cast<unsigned>(i) : 0;
         option.load = entry.load(now, average_peer_load);
         option.slots = entry.record().slots;
-        option.slowness = entry.slowness();
+        option.slowness = entry.slowness(now);
         option.untried = entry.untried();
         if (request.object)
         {
@@ -182,16 +177,22 @@
             locations.warm_chances().estimate(option.object, option.rank);
         out.push_back(option);
     }
-    if (preferred_region_admits)
+    return out;
+}
+
+/// Only work that the other regions can answer on time is worth the bytes
+/// between regions.
+std::optional<placement>
+target_chooser::place_overflow(std::span<const candidate> overflow,
+                               const choice_request& request) const
+{
+    if (!request.may_overflow || overflow.empty())
     {
-        std::erase_if(out,
-                      [&](const candidate& option)
-                      {
-                          return is_in_other_region(option.target_distance) !=
-                                 request.prefer_other_regions;
-                      });
+        return std::nullopt;
     }
-    return out;
+    const auto placed =
+        place(overflow, request.work, request.remaining, costs_);
+    return placed && placed->on_time ? placed : std::nullopt;
 }
 
 choice_outcome target_chooser::choose(const choice_request& request,
@@ -203,13 +204,29 @@
         return {std::nullopt, choice_failure::no_target};
     }
     sort_by_preference(ranked_targets, request);
-    const auto options = candidates(ranked_targets, request, now);
-    const auto placed = place(options, request.work, request.remaining, costs_);
+    auto all = candidates(ranked_targets, request, now);
+    const auto others = std::stable_partition(
+        all.begin(), all.end(),
+        [&](const candidate& option)
+        {
+            return is_in_other_region(option.target_distance) ==
+                   request.prefer_other_regions;
+        });
+    const bool preferred_admit = others != all.begin();
+    const std::span<const candidate> options(
+        all.begin(), preferred_admit ? others : all.end());
+    auto placed = place(options, request.work, request.remaining, costs_);
+    const bool overflow = !placed && preferred_admit;
+    if (overflow)
+    {
+        placed = place_overflow({others, all.end()}, request);
+    }
     if (placed)
     {
         const target& chosen = *ranked_targets[placed->target].entry;
-        return {target_choice{targets_.find(chosen.record().id), *placed},
-                choice_failure::no_target};
+        return {
+            target_choice{targets_.find(chosen.record().id), *placed, overflow},
+            choice_failure::no_target};
     }
     if (options.empty())
     {
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -12,6 +12,9 @@
 
 /// Half-life of a load report's weight, in seconds.
 constexpr double load_half_life_s = 0.6;
+/// Half-life of a reported pace, in seconds. Other work on a target's machine
+/// comes and goes within a few hundred milliseconds.
+constexpr double pace_half_life_s = 0.3;
 /// Weight of one report in the average load of a service.
 constexpr double average_peer_load_weight = 0.05;
 /// Failures in a row after which a target is ejected.
@@ -151,13 +154,40 @@
     ejected_until_ = now + ejection_time_;
 }
 
+double target::pace(time_point now) const
+{
+    const double age = to_seconds(now - load_reported_at_);
+    return 1 + (pace_ - 1) * std::exp2(-age / pace_half_life_s);
+}
+
+void target::set_load(double peer_load, const load_report& report,
+                      time_point reported_at)
+{
+    peer_load_ = std::max(0.0, peer_load);
+    pace_ = report.pace.value_or(1);
+    load_reported_at_ = reported_at;
+}
+
 double target::on_load(const load_report& report, time_point now)
 {
     const double total = report.running + report.waiting;
     // The target still counted this VM's request when it made the report.
     const double own = in_flight_ + 1.0;
-    peer_load_ = std::max(0.0, total - own);
-    load_reported_at_ = now;
+    set_load(total - own, report, now);
+    return peer_load_;
+}
+
+std::optional<double> target::on_shared_load(const load_report& report,
+                                             time_point reported_at)
+{
+    if (reported_at <= load_reported_at_)
+    {
+        return std::nullopt;
+    }
+    const double total = report.running + report.waiting;
+    // The target still counted the request that it answered with the report.
+    constexpr double answered = 1;
+    set_load(total - in_flight_ - answered, report, reported_at);
     return peer_load_;
 }
 
@@ -275,6 +305,7 @@
         added->on_wish(kept->second.wish, kept->second.return_time);
     }
     by_id_[record.id] = added;
+    by_number_[target_number(record.id)] = added;
     ++targets_per_domain_[record.service][record.failure_domain];
     by_service_[record.service].push_back(std::move(added));
     return true;
@@ -291,6 +322,7 @@
     remove_from_domain(found->second->record());
     std::erase(by_service_[service], found->second);
     locations_[service].remove_target(id);
+    by_number_.erase(target_number(id));
     by_id_.erase(found);
 }
 
@@ -392,9 +424,41 @@
 void target_directory::on_load(target& entry, const load_report& report,
                                time_point now)
 {
-    const double others = entry.on_load(report, now);
+    if (is_plausible(report))
+    {
+        observe_average(entry, entry.on_load(report, now));
+    }
+}
+
+void target_directory::on_shared_loads(const std::vector<shared_load>& loads,
+                                       time_point now)
+{
+    for (const shared_load& shared : loads)
+    {
+        const auto found = by_number_.find(shared.target);
+        if (found == by_number_.end())
+        {
+            continue; // Not registered here yet, or not any more.
+        }
+        target& entry = *found->second;
+        const load_report report = to_load_report(shared, entry.record().slots);
+        const duration age = std::chrono::milliseconds(shared.age_ms);
+        if (!is_plausible(report) || age > max_shared_load_age)
+        {
+            continue;
+        }
+        if (const auto others = entry.on_shared_load(report, now - age))
+        {
+            observe_average(entry, *others);
+        }
+    }
+}
+
+void target_directory::observe_average(const target& entry,
+                                       double load_of_others)
+{
     double& average = average_peer_load_[entry.record().service];
-    average += average_peer_load_weight * (others - average);
+    average += average_peer_load_weight * (load_of_others - average);
 }
 
 double target_directory::average_peer_load(const std::string& service) const
