Choose targets from a prepared index instead of from all targets

Cause: each choice built vectors of all targets, hashed the id of each and sorted them, so that its time grew with the number of targets. Change: target_index keeps the targets in service of one service, sorted by distance and region, and is built again when the directory's version changes. A choice considers the first 8 targets of the object's order, those that hold the object and up to 8 untried ones of the failure domain. It considers all targets only if an idle target further back may be better, if none can be placed, or if a late request would go to another than its first target, which depends on the utilization of all. Requests without an object start at a different target each, in proportion to the slots.

--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -3,10 +3,13 @@
 #pragma once
 
 #include <siskinflow/gateway/placement.hpp>
+#include <siskinflow/gateway/target_index.hpp>
 #include <siskinflow/gateway/targets.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -59,6 +62,10 @@
 /// the object stays on the same few targets without coordination between VMs.
 /// The order starts in the VM's failure domain or covers its region; see
 /// `choose_scope`.
+///
+/// A choice looks at the first targets of the order, at those that hold the
+/// object and at untried ones. It looks at all targets of the service only if
+/// none of these is as good as an idle target further back may be.
 class target_chooser
 {
 public:
@@ -76,24 +83,66 @@
                                               time_point now) const;
 
 private:
-    struct ranked_target
+    /// Leading targets of an object's order that have a rank of their own.
+    static constexpr std::size_t ordered_target_count = 8;
+
+    /// Targets that a request may use, in the order of preference: those of
+    /// the preferred regions in tiers 0 and 1, the rest in tier 2.
+    struct target_tiers
     {
-        target* entry;
-        distance target_distance;
-        std::uint64_t weight;
+        static constexpr std::size_t preferred = 2;
+        std::array<std::vector<selection::index_range>, preferred + 1> ranges;
+        std::vector<std::uint32_t> excluded;
+
+        void clear();
+        bool is_excluded(std::uint32_t index) const;
+        bool is_preferred(std::uint32_t index) const;
+        std::size_t count(std::size_t begin, std::size_t end) const;
+    };
+
+    /// Inputs of one choice and its candidates; reused to avoid allocations.
+    struct evaluation
+    {
+        const choice_request* request = nullptr;
+        const target_index* index = nullptr;
+        const object_locations* locations = nullptr;
+        time_point now{};
+        /// Orders the targets: hash of the object, or any other number.
+        std::uint64_t order_hash = 0;
+        double average_peer_load = 0;
+        target_tiers tiers;
+        std::vector<std::uint32_t> recent; ///< Targets that hold the object.
+        std::array<std::uint32_t, ordered_target_count> ranked{};
+        std::size_t ranked_count = 0;
+        std::vector<candidate> options;
+
+        void rank(std::size_t first_tier, std::size_t last_tier);
+        bool is_ranked(std::uint32_t index) const;
+        void add_option(std::uint32_t index, unsigned rank);
+        void add_others(std::size_t tier, unsigned rank);
     };
 
-    double expected_objects(std::string_view service) const;
-    bool usable(const target& entry, const choice_request& request) const;
-    std::vector<ranked_target> eligible_targets(const choice_request& request);
-    void sort_by_preference(std::vector<ranked_target>& ranked_targets,
-                            const choice_request& request);
-    std::vector<candidate>
-    candidates(const std::vector<ranked_target>& ranked_targets,
-               const choice_request& request, time_point now);
+    target_index& index_of(std::string_view service);
+    void start(evaluation& current, const choice_request& request,
+               const target_index& index, std::uint64_t order_hash,
+               time_point now) const;
+    void find_tiers(evaluation& current) const;
+    bool orders_by_domain(const evaluation& current,
+                          bool own_region_allowed) const;
+    choice_outcome evaluate(evaluation& current) const;
+    void add_leading(evaluation& current) const;
+    void add_all(evaluation& current) const;
+    candidate best_other(const evaluation& current) const;
+    std::optional<placement> place_leading(evaluation& current) const;
+    choice_outcome place_options(const evaluation& current) const;
+    choice_outcome outcome_of(const evaluation& current,
+                              const placement& placed) const;
 
     target_directory& targets_;
     placement_costs costs_;
+    std::map<std::string, target_index, std::less<>> indices_; ///< By service.
+    evaluation evaluation_;
+    std::uint64_t requests_without_object_ = 0;
 };
 
 } // namespace siskinflow::gateway
--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -179,6 +179,9 @@
 class object_locations
 {
 public:
+    /// Time after which a target is assumed to have dropped an object.
+    static constexpr duration object_lifetime = std::chrono::seconds(20);
+
     /// @brief Records that a target handled an object.
     void record(std::uint64_t object, const std::string& target,
                 time_point now);
@@ -187,6 +190,26 @@
     bool is_recent(std::uint64_t object, const std::string& target,
                    time_point now) const;
 
+    /// @brief Calls `visit` with the id of each target that handled the object
+    /// recently.
+    template <class Visitor>
+    void for_each_recent(std::uint64_t object, time_point now,
+                         const Visitor& visit) const
+    {
+        const auto found = by_object_.find(object);
+        if (found == by_object_.end())
+        {
+            return;
+        }
+        for (const location& entry : found->second)
+        {
+            if (now - entry.last_used < object_lifetime)
+            {
+                visit(entry.target);
+            }
+        }
+    }
+
     /// @brief Removes a target; its next incarnation holds no objects.
     void remove_target(const std::string& target);
 
@@ -256,6 +279,12 @@
     /// @brief Targets of a service, draining ones included.
     const std::vector<target_ptr>& of_service(const std::string& name) const;
 
+    /// @brief Changes with the set of targets in service and with their sizes.
+    std::uint64_t version() const
+    {
+        return version_;
+    }
+
     /// @brief Whether new requests may go to a target, apart from its load:
     /// registered, not draining or leaving, its failure domain not evacuated.
     bool in_service(const target& entry) const;
@@ -307,6 +336,7 @@
     void remove_from_domain(const target_record& record);
 
     vm_location vm_location_;
+    std::uint64_t version_ = 1;
     std::unordered_map<std::string, target_ptr> by_id_;
     std::unordered_map<std::string, std::vector<target_ptr>> by_service_;
     /// Number of targets of each service by failure domain.
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -34,8 +34,6 @@
 constexpr std::size_t max_kept_wishes = 10000;
 /// Burst of requests that one VM may send to a cold target.
 constexpr double cold_burst = 1;
-/// Time after which a target is assumed to have dropped an object.
-constexpr duration object_lifetime = std::chrono::seconds(20);
 /// Targets recorded for one object.
 constexpr std::size_t locations_per_object = 4;
 /// Objects recorded for one service.
@@ -259,6 +257,11 @@
         registered->record().started_at_ms == record.started_at_ms;
     if (same_incarnation)
     {
+        const target_record& known = registered->record();
+        const bool order_changed = known.draining != record.draining ||
+                                   known.slots != record.slots ||
+                                   known.region != record.region;
+        version_ += order_changed ? 1 : 0;
         registered->update(std::move(record), now);
         return false;
     }
@@ -266,6 +269,7 @@
     {
         remove(record.id);
     }
+    ++version_;
     auto added = std::make_shared<target>(record);
     added->update(record, now);
     const auto kept = kept_wishes_.find(record.id);
@@ -287,6 +291,7 @@
     {
         return;
     }
+    ++version_;
     const std::string service = found->second->record().service;
     remove_from_domain(found->second->record());
     std::erase(by_service_[service], found->second);
@@ -302,6 +307,7 @@
     if (registered != nullptr &&
         registered->record().started_at_ms == started_at_ms)
     {
+        version_ += wish.leaving && !registered->wish().leaving ? 1 : 0;
         registered->on_wish(wish, return_time);
     }
     keep_wish(id, {started_at_ms, wish, return_time});
@@ -343,6 +349,7 @@
 
 void target_directory::set_evacuated(std::set<std::string> failure_domains)
 {
+    version_ += failure_domains != evacuated_domains_ ? 1 : 0;
     evacuated_domains_ = std::move(failure_domains);
 }
 
