Merge the target order; prefer one remote domain for each object

Cause: an object that leaves its region was ordered over all targets of the other regions, where its own domains keep it on other targets.

--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace siskinflow::gateway
 {
@@ -15,22 +16,27 @@
 /// used until all objects have been seen. It keeps a domain with far fewer
 /// targets than the others from changing its order once they have.
 constexpr double min_expected_objects_per_target = 12;
-/// Leading positions that are sorted; the rest stay unordered.
-constexpr std::size_t ordered_target_count = 8;
+/// Rank of the targets that are not among the first of an object's order.
+constexpr unsigned unordered_rank = 8;
+/// Untried targets beyond the first of the order that one choice considers.
+constexpr std::size_t max_untried_candidates = 8;
+/// Stands for an idle target that is not among the candidates.
+constexpr std::uint32_t any_other_target =
+    std::numeric_limits<std::uint32_t>::max();
 
 constexpr std::array<std::string_view, 3> failure_names = {
     "no_target", "no_room", "too_late"};
 
-/// Weight of a target for an object in rendezvous (highest random weight)
-/// hashing.
-std::uint64_t rendezvous_weight(std::uint64_t object, std::string_view target)
+bool is_in_other_region(distance where)
 {
-    return stable_hash(target, object);
+    return where == distance::other_region;
 }
 
-bool is_in_other_region(distance where)
+/// Position from which a range is passed through, so that equally good targets
+/// at its beginning do not get all requests.
+std::uint32_t start_in(selection::index_range range, std::uint64_t hash)
 {
-    return where == distance::other_region;
+    return range.begin + static_cast<std::uint32_t>(hash % range.size());
 }
 
 } // namespace
@@ -45,13 +51,6 @@
 {
 }
 
-bool target_chooser::usable(const target& entry,
-                            const choice_request& request) const
-{
-    return targets_.in_service(entry) &&
-           request.region_allowed(entry.record().region);
-}
-
 std::optional<time_point>
 target_chooser::wanted_again_at(const choice_request& request,
                                 time_point now) const
@@ -60,7 +59,8 @@
     for (const target_ptr& entry :
          targets_.of_service(std::string(request.service)))
     {
-        if (!usable(*entry, request))
+        if (!targets_.in_service(*entry) ||
+            !request.region_allowed(entry->record().region))
         {
             continue;
         }
@@ -74,176 +74,502 @@
     return earliest;
 }
 
-std::vector<target_chooser::ranked_target>
-target_chooser::eligible_targets(const choice_request& request)
+// Tiers
+
+void target_chooser::target_tiers::clear()
 {
-    std::vector<ranked_target> out;
-    const auto& registered = targets_.of_service(std::string(request.service));
-    out.reserve(registered.size());
-    for (const target_ptr& entry : registered)
+    for (auto& tier : ranges)
     {
-        const target_record& record = entry->record();
-        const bool tried =
-            std::find(request.excluded.begin(), request.excluded.end(),
-                      record.id) != request.excluded.end();
-        if (tried || !usable(*entry, request))
+        tier.clear();
+    }
+    excluded.clear();
+}
+
+bool target_chooser::target_tiers::is_excluded(std::uint32_t index) const
+{
+    return std::find(excluded.begin(), excluded.end(), index) != excluded.end();
+}
+
+bool target_chooser::target_tiers::is_preferred(std::uint32_t index) const
+{
+    const auto contains_index = [index](selection::index_range range)
+    { return range.contains(index); };
+    return std::any_of(
+        ranges.begin(), ranges.begin() + preferred,
+        [&](const auto& tier)
+        { return std::any_of(tier.begin(), tier.end(), contains_index); });
+}
+
+std::size_t target_chooser::target_tiers::count(std::size_t begin,
+                                                std::size_t end) const
+{
+    std::size_t out = 0;
+    for (std::size_t tier = begin; tier < end; ++tier)
+    {
+        for (const selection::index_range& range : ranges[tier])
         {
-            continue;
+            out += range.size();
+            out -= static_cast<std::size_t>(std::count_if(
+                excluded.begin(), excluded.end(),
+                [&](std::uint32_t index) { return range.contains(index); }));
         }
-        const std::uint64_t weight =
-            request.object ? rendezvous_weight(*request.object, record.id) : 0;
-        out.push_back({entry.get(), targets_.distance_to(*entry), weight});
     }
     return out;
 }
 
-double target_chooser::expected_objects(std::string_view service) const
+bool target_chooser::orders_by_domain(const evaluation& current,
+                                      bool own_region_allowed) const
 {
-    const std::string name(service);
-    return std::max(static_cast<double>(targets_.locations(name).objects()),
-                    targets_.average_targets_per_domain(name) *
-                        min_expected_objects_per_target);
+    if (!current.request->object)
+    {
+        return true;
+    }
+    std::size_t in_domain = 0;
+    if (own_region_allowed)
+    {
+        const selection::index_range own =
+            current.index->regions().front().own_domain;
+        const auto& excluded = current.tiers.excluded;
+        in_domain = own.size() - static_cast<std::size_t>(std::count_if(
+                                     excluded.begin(), excluded.end(),
+                                     [own](std::uint32_t index)
+                                     { return own.contains(index); }));
+    }
+    return scope_for(current, in_domain) == object_scope::domain;
 }
 
-void target_chooser::sort_by_preference(
-    std::vector<ranked_target>& ranked_targets, const choice_request& request)
+object_scope target_chooser::scope_for(const evaluation& current,
+                                       std::size_t domain_targets) const
 {
-    const auto in_domain = static_cast<std::size_t>(std::count_if(
-        ranked_targets.begin(), ranked_targets.end(),
-        [](const ranked_target& entry)
-        { return entry.target_distance == distance::same_domain; }));
-    const bool by_domain =
-        !request.object ||
-        choose_scope(
-            {expected_objects(request.service), in_domain,
-             targets_.exchange_sizes(std::string(request.service)).average()},
-            costs_.max_region_bytes) == object_scope::domain;
-    const auto tier = [&](const ranked_target& entry)
+    const double objects =
+        std::max(static_cast<double>(current.locations->objects()),
+                 current.index->average_targets_per_domain() *
+                     min_expected_objects_per_target);
+    const std::string service(current.request->service);
+    return choose_scope(
+        {objects, domain_targets, targets_.exchange_sizes(service).average()},
+        costs_.max_region_bytes);
+}
+
+void target_chooser::find_tiers(evaluation& current) const
+{
+    target_tiers& tiers = current.tiers;
+    std::optional<bool> by_domain;
+    for (const indexed_region& region : current.index->regions())
     {
-        if (is_in_other_region(entry.target_distance) !=
-            request.prefer_other_regions)
+        const bool allowed = current.request->region_allowed(region.name);
+        const bool other = is_in_other_region(
+            current.index->at(region.all().begin).target_distance);
+        if (!by_domain)
         {
-            return 2;
+            by_domain = orders_by_domain(current, allowed && !other);
         }
-        return by_domain && entry.target_distance == distance::same_region ? 1
-                                                                           : 0;
-    };
-    const auto ordered_end = ranked_targets.begin() +
-                             static_cast<std::ptrdiff_t>(std::min(
-                                 ranked_targets.size(), ordered_target_count));
-    std::partial_sort(
-        ranked_targets.begin(), ordered_end, ranked_targets.end(),
-        [&tier](const ranked_target& left, const ranked_target& right)
+        if (!allowed)
+        {
+            continue;
+        }
+        if (other != current.request->prefer_other_regions)
+        {
+            tiers.ranges[target_tiers::preferred].push_back(region.all());
+        }
+        else if (other)
+        {
+            tiers.ranges[1].push_back(region.all());
+        }
+        else if (!*by_domain)
         {
-            return std::pair(tier(left), ~left.weight) <
-                   std::pair(tier(right), ~right.weight);
-        });
+            tiers.ranges[0].push_back(region.all());
+        }
+        else
+        {
+            tiers.ranges[0].push_back(region.own_domain);
+            tiers.ranges[1].push_back(region.other_domains);
+        }
+    }
+    if (current.request->prefer_other_regions && current.request->object)
+    {
+        prefer_one_domain(current);
+    }
 }
 
-std::vector<candidate>
-target_chooser::candidates(const std::vector<ranked_target>& ranked_targets,
-                           const choice_request& request, time_point now)
+/// Moves the region or failure domain that an object goes to outside of the
+/// VM's region to the first tier. Its own VMs send the object to the same
+/// targets, so that it is warm there.
+void target_chooser::prefer_one_domain(evaluation& current) const
 {
-    const object_locations& locations =
-        targets_.locations(std::string(request.service));
-    const double average_peer_load =
-        targets_.average_peer_load(std::string(request.service));
-    std::vector<candidate> out;
-    out.reserve(ranked_targets.size());
-    for (std::size_t i = 0; i < ranked_targets.size(); ++i)
+    const indexed_domain* chosen = nullptr;
+    const indexed_region* chosen_region = nullptr;
+    double lowest_score = 0;
+    for (const indexed_region& region : current.index->regions())
     {
-        target& entry = *ranked_targets[i].entry;
-        if (!entry.admits(now))
+        const auto& remote = current.tiers.ranges[1];
+        if (std::find(remote.begin(), remote.end(), region.all()) ==
+            remote.end())
         {
             continue;
         }
-        candidate option;
-        option.target = static_cast<std::uint32_t>(i);
-        option.target_distance = ranked_targets[i].target_distance;
-        option.rank = request.object ? static_cast<unsigned>(i) : 0;
-        option.load = entry.load(now, average_peer_load);
-        option.slots = entry.record().slots;
-        option.slowness = entry.slowness(now);
-        option.untried = entry.untried();
-        if (request.object)
-        {
-            const bool recent =
-                locations.is_recent(*request.object, entry.record().id, now);
-            option.object = recent   ? object_state::recent
-                            : i == 0 ? object_state::likely
-                                     : object_state::cold;
-        }
-        option.warm_chance =
-            locations.warm_chances().estimate(option.object, option.rank);
-        out.push_back(option);
+        for (const indexed_domain& domain : region.domains)
+        {
+            const double score = selection::order_score(
+                current.order_hash, {domain.key, domain.slots});
+            if (chosen == nullptr || score < lowest_score)
+            {
+                chosen = &domain;
+                chosen_region = &region;
+                lowest_score = score;
+            }
+        }
     }
-    return out;
+    if (chosen == nullptr)
+    {
+        return;
+    }
+    const bool by_domain =
+        scope_for(current, chosen->range.size()) == object_scope::domain;
+    const selection::index_range first =
+        by_domain ? chosen->range : chosen_region->all();
+    std::vector<selection::index_range>& rest = current.tiers.ranges[1];
+    std::erase(rest, chosen_region->all());
+    for (const selection::index_range part :
+         {selection::index_range{chosen_region->all().begin, first.begin},
+          selection::index_range{first.end, chosen_region->all().end}})
+    {
+        if (part.size() > 0)
+        {
+            rest.push_back(part);
+        }
+    }
+    current.tiers.ranges[0].push_back(first);
 }
 
-/// Only work that the other regions can answer on time is worth the bytes
-/// between regions.
-std::optional<placement>
-target_chooser::place_overflow(std::span<const candidate> overflow,
-                               const choice_request& request) const
+// Candidates
+
+/// Continues the order with the targets of further tiers, each tier behind the
+/// one before.
+void target_chooser::evaluation::rank(std::size_t first_tier,
+                                      std::size_t last_tier)
 {
-    if (!request.may_overflow || overflow.empty())
+    for (std::size_t tier = first_tier; tier <= last_tier; ++tier)
     {
-        return std::nullopt;
+        ranked_count +=
+            index->order().first(order_hash, tiers.ranges[tier], tiers.excluded,
+                                 std::span(ranked).subspan(ranked_count));
     }
-    const auto placed =
-        place(overflow, request.work, request.remaining, costs_);
-    return placed && placed->on_time ? placed : std::nullopt;
 }
 
-choice_outcome target_chooser::choose(const choice_request& request,
-                                      time_point now)
+bool target_chooser::evaluation::is_ranked(std::uint32_t target) const
+{
+    const auto* const end = ranked.data() + ranked_count;
+    return std::find(ranked.data(), end, target) != end;
+}
+
+void target_chooser::evaluation::add_option(std::uint32_t target, unsigned rank)
 {
-    std::vector<ranked_target> ranked_targets = eligible_targets(request);
-    if (ranked_targets.empty())
+    const indexed_target& entry = index->at(target);
+    const gateway::target& subject = *entry.subject;
+    if (!subject.admits(now))
     {
-        return {std::nullopt, choice_failure::no_target};
+        return;
+    }
+    candidate option;
+    option.target = target;
+    option.target_distance = entry.target_distance;
+    option.rank = request->object ? rank : 0;
+    option.load = subject.load(now, average_peer_load);
+    option.slots = subject.record().slots;
+    option.slowness = subject.slowness(now);
+    option.untried = subject.untried();
+    if (request->object)
+    {
+        const bool is_recent =
+            std::find(recent.begin(), recent.end(), target) != recent.end();
+        option.object = is_recent   ? object_state::recent
+                        : rank == 0 ? object_state::likely
+                                    : object_state::cold;
     }
-    sort_by_preference(ranked_targets, request);
-    auto all = candidates(ranked_targets, request, now);
-    const auto others = std::stable_partition(
-        all.begin(), all.end(),
-        [&](const candidate& option)
+    option.warm_chance =
+        locations->warm_chances().estimate(option.object, option.rank);
+    options.push_back(option);
+}
+
+/// Adds the targets of a tier that are not ranked.
+void target_chooser::evaluation::add_others(std::size_t tier, unsigned rank)
+{
+    for (const selection::index_range& range : tiers.ranges[tier])
+    {
+        if (range.size() == 0)
+        {
+            continue;
+        }
+        std::uint32_t target = start_in(range, order_hash);
+        for (std::uint32_t i = 0; i < range.size(); ++i)
         {
-            return is_in_other_region(option.target_distance) ==
-                   request.prefer_other_regions;
-        });
-    const bool preferred_admit = others != all.begin();
-    const std::span<const candidate> options(
-        all.begin(), preferred_admit ? others : all.end());
-    auto placed = place(options, request.work, request.remaining, costs_);
-    const bool overflow = !placed && preferred_admit;
-    if (overflow)
+            if (!is_ranked(target) && !tiers.is_excluded(target))
+            {
+                add_option(target, rank);
+            }
+            target = target + 1 < range.end ? target + 1 : range.begin;
+        }
+    }
+}
+
+/// Adds the first targets of the order, those that hold the object, and untried
+/// ones of the failure domain.
+void target_chooser::add_leading(evaluation& current) const
+{
+    for (std::size_t i = 0; i < current.ranked_count; ++i)
     {
-        placed = place_overflow({others, all.end()}, request);
+        current.add_option(current.ranked[i], static_cast<unsigned>(i));
     }
-    if (placed)
+    const auto add = [&](std::uint32_t target)
     {
-        const target& chosen = *ranked_targets[placed->target].entry;
-        return {
-            target_choice{targets_.find(chosen.record().id), *placed, overflow},
-            choice_failure::no_target};
+        if (!current.is_ranked(target) && !current.tiers.is_excluded(target) &&
+            current.tiers.is_preferred(target))
+        {
+            current.add_option(target, unordered_rank);
+        }
+    };
+    for (const std::uint32_t target : current.recent)
+    {
+        add(target);
     }
-    if (options.empty())
+    const std::vector<std::uint32_t>& untried = current.index->untried();
+    const std::size_t considered =
+        std::min(untried.size(), max_untried_candidates);
+    for (std::size_t i = 0; i < considered; ++i)
     {
-        return {std::nullopt, choice_failure::no_target};
+        const std::uint32_t target =
+            untried[(current.order_hash + i) % untried.size()];
+        const bool added =
+            std::any_of(current.options.begin(), current.options.end(),
+                        [target](const candidate& option)
+                        { return option.target == target; });
+        if (!added)
+        {
+            add(target);
+        }
+    }
+}
+
+/// Adds all targets of the preferred regions, or those of the rest if none of
+/// the preferred ones admits requests.
+void target_chooser::add_all(evaluation& current) const
+{
+    current.options.clear();
+    for (std::size_t i = 0; i < current.ranked_count; ++i)
+    {
+        current.add_option(current.ranked[i], static_cast<unsigned>(i));
+    }
+    current.add_others(0, unordered_rank);
+    current.add_others(1, unordered_rank);
+    if (!current.options.empty())
+    {
+        return;
+    }
+    const std::size_t preferred = current.ranked_count;
+    current.rank(target_tiers::preferred, target_tiers::preferred);
+    for (std::size_t i = preferred; i < current.ranked_count; ++i)
+    {
+        current.add_option(current.ranked[i], static_cast<unsigned>(i));
+    }
+    current.add_others(target_tiers::preferred, unordered_rank);
+}
+
+// Choice
+
+target_index& target_chooser::index_of(std::string_view service)
+{
+    const auto found = indices_.find(service);
+    if (found == indices_.end())
+    {
+        const std::string name(service);
+        return indices_.emplace(name, target_index(targets_, name))
+            .first->second;
+    }
+    if (found->second.version() != targets_.version())
+    {
+        found->second = target_index(targets_, found->first);
     }
-    const bool in_time_when_idle = std::any_of(
-        options.begin(), options.end(),
-        [&](const candidate& option)
+    return found->second;
+}
+
+void target_chooser::start(evaluation& current, const choice_request& request,
+                           const target_index& index, std::uint64_t order_hash,
+                           time_point now) const
+{
+    const std::string service(request.service);
+    current.request = &request;
+    current.index = &index;
+    current.locations = &targets_.locations(service);
+    current.now = now;
+    current.order_hash = order_hash;
+    current.average_peer_load = targets_.average_peer_load(service);
+    current.tiers.clear();
+    for (const std::string& id : request.excluded)
+    {
+        if (const auto target = index.find(id))
         {
-            candidate idle = option;
-            idle.load = 0;
-            idle.warm_chance = 1;
-            return expected_completion(idle, request.work, costs_) <=
-                   request.remaining.deadline;
-        });
+            current.tiers.excluded.push_back(*target);
+        }
+    }
+    current.recent.clear();
+    if (request.object)
+    {
+        current.locations->for_each_recent(
+            *request.object, now,
+            [&current](const std::string& id)
+            {
+                if (const auto target = current.index->find(id))
+                {
+                    current.recent.push_back(*target);
+                }
+            });
+    }
+    current.ranked_count = 0;
+    current.options.clear();
+    find_tiers(current);
+}
+
+choice_outcome target_chooser::outcome_of(const evaluation& current,
+                                          const placement& placed) const
+{
+    return {target_choice{current.index->at(placed.target).subject, placed},
+            choice_failure::no_target};
+}
+
+/// The best that a target which is not among the candidates could be: idle, and
+/// cold for the object.
+candidate target_chooser::best_other(const evaluation& current) const
+{
+    const selection::index_range own =
+        current.index->regions().front().own_domain;
+    const auto in_own = [own](std::uint32_t target)
+    { return own.contains(target); };
+    const auto& excluded = current.tiers.excluded;
+    const auto ranked = std::span(current.ranked).first(current.ranked_count);
+    const auto considered =
+        std::count_if(excluded.begin(), excluded.end(), in_own) +
+        std::count_if(ranked.begin(), ranked.end(), in_own);
+    candidate out;
+    out.target = any_other_target;
+    out.rank = unordered_rank;
+    out.target_distance = current.request->prefer_other_regions
+                              ? distance::other_region
+                          : considered < static_cast<std::ptrdiff_t>(own.size())
+                              ? distance::same_domain
+                              : distance::same_region;
+    out.warm_chance =
+        current.locations->warm_chances().estimate(out.object, out.rank);
+    return out;
+}
+
+/// Places a request on one of the leading targets of its order.
+/// @return nothing if a target further back may be better
+std::optional<placement>
+target_chooser::place_leading(evaluation& current) const
+{
+    current.options.push_back(best_other(current));
+    const auto placed = place(current.options, current.request->work,
+                              current.request->remaining, costs_);
+    // Whether a late request may go to any but its first target depends on the
+    // utilization of all targets.
+    const bool conclusive = placed && placed->target != any_other_target &&
+                            (placed->on_time || placed->rank == 0);
+    return conclusive ? placed : std::nullopt;
+}
+
+choice_outcome target_chooser::place_options(const evaluation& current) const
+{
+    const work_time& work = current.request->work;
+    const remaining_time& remaining = current.request->remaining;
+    if (current.options.empty())
+    {
+        return {std::nullopt, choice_failure::no_target};
+    }
+    const auto placed = place(current.options, work, remaining, costs_);
+    if (placed)
+    {
+        return outcome_of(current, *placed);
+    }
+    const bool in_time_when_idle =
+        std::any_of(current.options.begin(), current.options.end(),
+                    [&](const candidate& option)
+                    {
+                        candidate idle = option;
+                        idle.load = 0;
+                        idle.warm_chance = 1;
+                        return expected_completion(idle, work, costs_) <=
+                               remaining.deadline;
+                    });
     return {std::nullopt, in_time_when_idle ? choice_failure::no_room
                                             : choice_failure::too_late};
 }
 
+/// Only work that the other regions can answer on time is worth the bytes
+/// between regions.
+std::optional<placement>
+target_chooser::place_overflow(evaluation& current) const
+{
+    current.options.clear();
+    current.ranked_count = 0;
+    current.rank(target_tiers::preferred, target_tiers::preferred);
+    for (std::size_t i = 0; i < current.ranked_count; ++i)
+    {
+        current.add_option(current.ranked[i], static_cast<unsigned>(i));
+    }
+    const auto placed = place(current.options, current.request->work,
+                              current.request->remaining, costs_);
+    return placed && placed->on_time ? placed : std::nullopt;
+}
+
+choice_outcome target_chooser::evaluate(evaluation& current) const
+{
+    choice_outcome out = evaluate_preferred(current);
+    if (out.choice || out.failure != choice_failure::no_room ||
+        !current.request->may_overflow)
+    {
+        return out;
+    }
+    if (const auto placed = place_overflow(current))
+    {
+        out = outcome_of(current, *placed);
+        out.choice->overflow = true;
+    }
+    return out;
+}
+
+choice_outcome target_chooser::evaluate_preferred(evaluation& current) const
+{
+    current.rank(0, target_tiers::preferred - 1);
+    add_leading(current);
+    if (!current.options.empty())
+    {
+        const bool complete = current.tiers.count(0, target_tiers::preferred) ==
+                              current.ranked_count;
+        if (complete)
+        {
+            return place_options(current);
+        }
+        if (const auto placed = place_leading(current))
+        {
+            return outcome_of(current, *placed);
+        }
+    }
+    add_all(current);
+    return place_options(current);
+}
+
+choice_outcome target_chooser::choose(const choice_request& request,
+                                      time_point now)
+{
+    target_index& index = index_of(request.service);
+    index.update_untried();
+    const std::uint64_t order_hash =
+        request.object
+            ? *request.object
+            : stable_hash(request.service, ++requests_without_object_);
+    start(evaluation_, request, index, order_hash, now);
+    return evaluate(evaluation_);
+}
+
 } // namespace siskinflow::gateway
