Withdraw unsent requests from targets that left, however it is learned

Cause: only what a target said in an answer made requests that were placed on it and not sent go elsewhere. A registration that says draining, a removed registration, an evacuated failure domain and a next incarnation did not, so a request that was connecting still went to the target.

Change: gateway_state::withdraw_unsent asks each request in progress whether its target still takes requests (target_directory::takes_requests). All causes call it. A request that was not sent is placed again, also on the next incarnation of the same target. A request of which bytes wait in the process or in the system's buffer (http_call::fully_sent) can't be whole at the target: an idempotent one is cut off with a reset, so that the rest is discarded, counts as one that may have run, and is placed again within the limits of retries. An order is sent to its end, because it could then neither be sent again nor be reported as not run.

--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -260,6 +260,10 @@
     /// registered, not draining or leaving, its failure domain not evacuated.
     bool in_service(const target& entry) const;
 
+    /// @brief Whether a target may be sent requests that were placed on it:
+    /// this incarnation is registered, in service and wants requests.
+    bool takes_requests(const target& entry, time_point now) const;
+
     /// @brief Distance of a target from this VM.
     distance distance_to(const target& entry) const;
 
--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -102,6 +102,14 @@
     /// @brief Whether the connection was established.
     virtual bool sent() const = 0;
 
+    /// @brief Whether no byte of the request waits in this machine any more,
+    /// neither in the process nor in the system's buffer. Until then the peer
+    /// can't have the whole request, and `cancel` discards what waits.
+    virtual bool fully_sent() const
+    {
+        return sent();
+    }
+
     /// @brief Where the answer was read.
     /// @return a position that is not conclusive before the head has arrived
     virtual answer_position position() const
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -294,11 +294,7 @@
                {"reason", reason},
                {"for_ms", pauses ? to_ms(wish.paused_until - now()) : 0},
                {"told_by", told_by}});
-    const auto requests = in_progress;
-    for (const auto& request : requests)
-    {
-        request->withdraw_unsent(*entry);
-    }
+    withdraw_unsent();
     if (pauses)
     {
         loop.after(wish.paused_until - now(),
@@ -306,6 +302,16 @@
     }
 }
 
+void gateway_state::withdraw_unsent()
+{
+    // A request that is placed again may end, which removes it.
+    const auto requests = in_progress;
+    for (const auto& request : requests)
+    {
+        request->withdraw_unsent();
+    }
+}
+
 void gateway_state::on_pause_end(const target_ptr& entry)
 {
     if (!entry->wish().allows_requests(now()))
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -128,6 +128,11 @@
     void on_target_wish(const target_ptr& entry, const target_wish& wish,
                         std::string_view told_by);
 
+    /// @brief Places requests again that were placed on a target which takes no
+    /// more, and were not sent. To be called after every change that takes a
+    /// target out of service, whoever told it.
+    void withdraw_unsent();
+
     /// @brief Called when an answer has told that a target is leaving.
     std::function<void(const target_record&)> on_target_leaving;
 
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -84,7 +84,7 @@
 void request_flow::send(const target_choice& choice, send_permission permission)
 {
     const time_point now = state_.now();
-    if (!tried_targets_.empty())
+    if (!attempts_log_.empty())
     {
         log_sent_again(choice);
     }
@@ -152,16 +152,45 @@
     }
 }
 
-void request_flow::withdraw_unsent(const target& unwanted)
+void request_flow::withdraw_unsent()
 {
-    if (ended_ || call_ == nullptr || target_.get() != &unwanted ||
-        call_->sent())
+    if (ended_ || call_ == nullptr ||
+        state_.targets.takes_requests(*target_, state_.now()))
     {
         return;
     }
     const auto self = shared_from_this();
+    if (call_->sent())
+    {
+        withdraw_incomplete();
+        return;
+    }
+    call_->cancel();
+    release_target(attempt_result::withdrawn);
+    // The target was not tried: its next incarnation may get the request.
+    tried_targets_.pop_back();
+    place();
+}
+
+/// The target has the beginning of the request at most, and may act on that.
+/// An idempotent request is cut off and counts as one that may have run; it is
+/// placed again if that is possible at once, within the limits of retries. An
+/// order is sent to its end: cut off, it could neither be sent again nor be
+/// reported as not run.
+void request_flow::withdraw_incomplete()
+{
+    const bool has_answer = status_ != 0;
+    if (!route_->idempotent || has_answer || call_->fully_sent() ||
+        attempts_->possible_runs() + 1 >= route_->max_attempts ||
+        !choose().choice || !take_retry())
+    {
+        return;
+    }
     call_->cancel();
     release_target(attempt_result::withdrawn);
+    state_.metric_set
+        .counter(metric_id::retries, {gateway::name(attempt_result::withdrawn)})
+        .add();
     place();
 }
 
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -44,9 +44,9 @@
     /// @return whether it waits no more
     bool place_waiting();
 
-    /// @brief Places the request again if it was placed on a target and has not
-    /// been sent.
-    void withdraw_unsent(const target& unwanted);
+    /// @brief Places the request again if its target takes no more requests and
+    /// it has not been sent.
+    void withdraw_unsent();
 
     /// @brief Answers the request because the process is about to end.
     void cut_by_stop();
@@ -83,6 +83,7 @@
     void on_attempt_timer();
     void refuse_foreign_answer();
     void apply_wish();
+    void withdraw_incomplete();
     attempt_result classify_outcome(net::call_outcome outcome) const;
     void update_estimates(attempt_result result);
     void retry_or_end(attempt_result result);
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -128,6 +128,7 @@
     state_.log.write(
         event_id::evacuation_changed,
         {{"failure_domains", domain_list}, {"revision", revision}});
+    state_.withdraw_unsent();
     state_.place_all_waiting();
 }
 
@@ -211,6 +212,10 @@
         state_.targets.find(entry.id)->mark_tried();
     }
     state_.limit_if_cold(*state_.targets.find(entry.id));
+    if (known != nullptr && (added || entry.draining))
+    {
+        state_.withdraw_unsent();
+    }
     if (added && listed_)
     {
         state_.place_waiting(entry.service);
@@ -251,6 +256,7 @@
                       {"failure_domain", known->record().failure_domain},
                       {"revision", revision}});
     state_.targets.remove(id);
+    state_.withdraw_unsent();
 }
 
 // VMs
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -378,6 +378,12 @@
            evacuated_domains_.count(entry.record().failure_domain) == 0;
 }
 
+bool target_directory::takes_requests(const target& entry, time_point now) const
+{
+    return find(entry.record().id).get() == &entry && in_service(entry) &&
+           entry.wish().allows_requests(now);
+}
+
 distance target_directory::distance_to(const target& entry) const
 {
     if (entry.record().failure_domain == vm_location_.failure_domain)
--- a/src/net/client_call.cpp
+++ b/src/net/client_call.cpp
@@ -5,8 +5,10 @@
 #include <siskinflow/core/ids.hpp>
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace siskinflow::net
 {
@@ -104,6 +106,38 @@
     close_native_call();
 }
 
+bool client_call::fully_sent() const
+{
+    if (!sent_ || client_ == nullptr || client_->sock == nullptr)
+    {
+        return sent_;
+    }
+    // In the pass of the connect, h2o has not yet reported a write that is
+    // complete.
+    const bool reported = sent_in_pass_ != owner_->loop.handle().passes;
+    if (reported && client_->sock->_cb.write != nullptr)
+    {
+        return false;
+    }
+    int unsent_bytes = 0;
+    const int descriptor = h2o_socket_get_fd(client_->sock);
+    return ::ioctl(descriptor, SIOCOUTQNSD, &unsent_bytes) != 0 ||
+           unsent_bytes == 0;
+}
+
+/// A close would still deliver what waits in the system's buffer, and the peer
+/// would get the rest of a request that was cancelled.
+void client_call::discard_unsent_bytes()
+{
+    if (!sent_ || fully_sent())
+    {
+        return;
+    }
+    const linger reset{1, 0};
+    (void)::setsockopt(h2o_socket_get_fd(client_->sock), SOL_SOCKET, SO_LINGER,
+                       &reset, sizeof(reset));
+}
+
 /// Outside its loop, h2o 2.2 frees a closed connection even if it still has to
 /// report a write on it, and then follows the freed entry of its event list.
 /// Within one pass of the loop that report is made.
@@ -124,6 +158,7 @@
     {
         return;
     }
+    discard_unsent_bytes();
     h2o_http1client_t* client = std::exchange(client_, nullptr);
     h2o_http1client_cancel(client);
 }
--- a/src/net/client_call.hpp
+++ b/src/net/client_call.hpp
@@ -44,6 +44,7 @@
     {
         return sent_;
     }
+    bool fully_sent() const override;
     answer_position position() const override
     {
         return position_;
@@ -79,6 +80,7 @@
     void cancel_native_call();
     void close_after_next_pass();
     void close_native_call();
+    void discard_unsent_bytes();
     void deregister(const std::shared_ptr<client_call>& self);
     void release_connection();
     void doubt_connection();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -64,6 +64,10 @@
     {
         return call_->sent();
     }
+    bool fully_sent() const override
+    {
+        return call_->fully_sent();
+    }
     answer_position position() const override
     {
         return call_->position();
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -204,9 +204,10 @@
 }
 
 void gateway_world::add_entry(const std::string& id, const std::string& service,
-                              std::uint16_t port, unsigned slots)
+                              std::uint16_t port, unsigned slots,
+                              const std::string& state)
 {
-    write_entry(id, {service, port, slots, "ready"});
+    write_entry(id, {service, port, slots, state});
 }
 
 void gateway_world::write_entry(const std::string& id,
--- a/tests/lib/raw_target.cpp
+++ b/tests/lib/raw_target.cpp
@@ -162,7 +162,10 @@
         if (!head_read)
         {
             const std::string head = received.substr(0, head_size);
-            arrived.method = head.substr(0, head.find(' '));
+            const auto path_at = head.find(' ') + 1;
+            arrived.method = head.substr(0, path_at - 1);
+            arrived.path =
+                head.substr(path_at, head.find(' ', path_at) - path_at);
             arrived.id = field_value(head, "siskinflow-request-id");
             arrived.instance =
                 field_value(head, "siskinflow-expected-instance");
--- a/tests/process/gateway_withdrawal_test.cpp
+++ b/tests/process/gateway_withdrawal_test.cpp
@@ -1,7 +1,10 @@
 #include "gateway_world.hpp"
+#include "raw_target.hpp"
 #include "test_sections.hpp"
 
+#include <atomic>
 #include <iostream>
+#include <semaphore>
 #include <sstream>
 
 using namespace siskinflow;
@@ -203,3 +206,82 @@
                        std::string::npos);
             });
 }
+
+// Guards against the rest of a request that waits for a slow connection and
+// reaches a target after it has left (DRAIN).
+Test(gateway_withdrawal, a_target_leaves_while_a_request_is_sent)
+{
+    constexpr int receive_buffer = 2048;
+    constexpr std::size_t body_bytes = 60000;
+    std::atomic<int> begun{0};
+    std::counting_semaphore<> may_read(0);
+    raw_target slow([](const raw_target::request&)
+                    { return raw_target::reply(""); },
+                    [&](const raw_target::request&)
+                    {
+                        ++begun;
+                        may_read.acquire();
+                        return std::string();
+                    },
+                    receive_buffer);
+    gateway_world world(1);
+    // A long objective: an attempt that seems overdue would be given up.
+    world.configure({{"target-latency", "4s"}, {"timeout", "9s"}});
+    EXPECT(world.start_all());
+    struct way
+    {
+        std::string name;
+        std::function<void()> leave;
+    };
+    const way ways[] = {
+        {"its registration is removed", [&] { world.remove_entry("slow"); }},
+        {"it registers as draining",
+         [&] { world.add_entry("slow", "maps", slow.port(), 6, "draining"); }}};
+    auto& other = world.add_target("maps", named("other"));
+    // Whether the VM has learned this of a target last.
+    const auto is = [&](const std::string& target, const std::string& change)
+    {
+        const std::string log = world.log(0);
+        const std::string field = "target=" + target + " service=maps change=";
+        const auto at = log.rfind(field);
+        return at != std::string::npos &&
+               log.compare(at + field.size(), change.size(), change) == 0;
+    };
+    for (const way& each : ways)
+    {
+        section(each.name,
+                [&]
+                {
+                    // The other target is away, so that the slow one is chosen.
+                    world.register_target("other", "draining");
+                    world.add_entry("slow", "maps", slow.port());
+                    EXPECT(world.until(
+                        [&]
+                        {
+                            return is("other", "draining") &&
+                                   (is("slow", "registered") ||
+                                    is("slow", "ready"));
+                        }));
+                    caller_request look;
+                    look.id = "look-" + std::to_string(begun);
+                    look.body.assign(body_bytes, 'b');
+                    look.patience = 9000ms;
+                    std::optional<net::fetch_result> got;
+                    const int before = begun;
+                    const auto sending = world.send(
+                        0, look,
+                        [&](const net::fetch_result& result) { got = result; });
+                    EXPECT(world.until([&] { return begun > before; }));
+                    world.register_target("other", "ready");
+                    EXPECT(world.until([&] { return is("other", "ready"); }));
+                    EXPECT(!got);
+                    each.leave();
+                    EXPECT(world.until([&] { return got.has_value(); }, 3s));
+                    EXPECT(got && got->response.status == 200);
+                    EXPECT(other.runs().count(look.id) == 1);
+                    may_read.release();
+                    world.run_for(300ms);
+                    EXPECT(slow.runs(look.id) == 0);
+                });
+    }
+}
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -81,7 +81,8 @@
 
     /// @brief Registers a target that the test itself runs on a port.
     void add_entry(const std::string& id, const std::string& service,
-                   std::uint16_t port, unsigned slots = 6);
+                   std::uint16_t port, unsigned slots = 6,
+                   const std::string& state = "ready");
 
     /// @brief Removes a target's entry.
     void remove_entry(const std::string& id)
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -23,6 +23,7 @@
     {
         std::string id;
         std::string method;
+        std::string path;       ///< With the query.
         std::string instance;   ///< Target that it is meant for.
         std::uint16_t port = 0; ///< Of the target.
         int connection = 0;     ///< Number of its connection, from 1.
--- a/tests/unit/connection_world.hpp
+++ b/tests/unit/connection_world.hpp
@@ -320,12 +320,14 @@
         record.slots = registered.slots;
         record.started_at_ms = ++incarnations_;
         state().targets.put(record, time.now());
+        state().withdraw_unsent();
         state().place_all_waiting();
     }
 
     void remove(const std::string& id)
     {
         state().targets.remove(id);
+        state().withdraw_unsent();
     }
 
     bool registered(const std::string& id) const
--- a/tests/unit/gateway_request_orders_test.cpp
+++ b/tests/unit/gateway_request_orders_test.cpp
@@ -140,6 +140,12 @@
     std::vector<event> out;
     out.push_back(
         {"connect", unsent, [](world& w) { w.open_call()->sent = true; }});
+    out.push_back({"connect, sent in part", unsent,
+                   [](world& w)
+                   {
+                       w.open_call()->sent = true;
+                       w.open_call()->fully_sent = false;
+                   }});
     out.push_back(
         end_event("connect fails", unsent, call_outcome::connect_failed));
     out.push_back(
@@ -191,7 +197,10 @@
     out.push_back({"target withdrawn",
                    [](const world& w) { return w.open_call() != nullptr; },
                    [](world& w)
-                   { w.state().targets.remove(w.open_call()->target()); }});
+                   {
+                       w.state().targets.remove(w.open_call()->target());
+                       w.state().withdraw_unsent();
+                   }});
     out.push_back(
         {"free room", always, [](world& w) { w.state().place_all_waiting(); }});
     return out;
--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -25,6 +25,7 @@
     net::client_request request;
     std::shared_ptr<net::call_observer> observer; ///< Null once it has ended.
     bool sent = false;
+    bool fully_sent = true; ///< Once it is sent.
     bool head_received = false;
     /// Whether the target has truly rejected it, whatever arrives of that.
     bool truly_rejected = false;
@@ -118,6 +119,10 @@
         {
             return call_->sent;
         }
+        bool fully_sent() const override
+        {
+            return call_->sent && call_->fully_sent;
+        }
         net::answer_position position() const override
         {
             return call_->position();
