Soak: pipelined lookups, targets with a fourth load figure, an organisation over its rate

Half of the targets report how long their work takes now. One organisation sends ten times its rate in spells; only its requests may be refused for their rate. The new load has random numbers of its own, so that the faults of a seed stay the same.

--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -22,7 +22,8 @@
 
 platform_target::platform_target(net::event_loop& loop,
                                  platform_target_options options)
-    : loop_(loop), options_(std::move(options)), instances_{options_.id},
+    : loop_(loop), options_(std::move(options)),
+      usual_work_(options_.work), instances_{options_.id},
       random_(std::hash<std::string>()(options_.id))
 {
 }
@@ -71,6 +72,18 @@
     return out;
 }
 
+std::string platform_target::load() const
+{
+    std::string out =
+        std::to_string(running_) + ",0," + std::to_string(options_.slots);
+    if (options_.reports_pace)
+    {
+        constexpr int percent = 100;
+        out += ',' + std::to_string(percent * options_.work / usual_work_);
+    }
+    return out;
+}
+
 bool platform_target::chance(double part)
 {
     return part > 0 && std::uniform_real_distribution<>()(random_) < part;
@@ -183,8 +196,7 @@
     body.resize(std::max(body.size(), options_.min_answer_bytes), ' ');
     net::http_headers headers = answer_headers(exchange);
     headers.add("siskinflow-response-signature", "signed");
-    headers.add("siskinflow-server-load", std::to_string(running_) + ",0," +
-                                              std::to_string(options_.slots));
+    headers.add("siskinflow-server-load", load());
     if (failing_)
     {
         exchange->respond({500, std::move(headers), {}});
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -41,6 +41,9 @@
     unsigned slots = 6;
     double cut_part = 0; ///< Fraction of answers truncated after the run.
     std::size_t min_answer_bytes = 0; ///< Shorter answers are filled up.
+    /// Whether the reported load has a fourth figure: how long work takes now,
+    /// in percent of the time at the start.
+    bool reports_pace = false;
 };
 
 /// @brief Runs requests, checks their headers and counts runs by request id.
@@ -204,6 +207,7 @@
     siskinflow::net::http_headers
     answer_headers(const siskinflow::net::exchange_ptr& exchange) const;
     bool should_truncate_next();
+    std::string load() const;
     bool chance(double part);
     void refuse(const siskinflow::net::exchange_ptr& exchange) const;
     void answer_wrongly(const siskinflow::net::exchange_ptr& exchange,
@@ -211,6 +215,7 @@
 
     siskinflow::net::event_loop& loop_;
     platform_target_options options_;
+    siskinflow::duration usual_work_;
     std::unique_ptr<siskinflow::net::http_server> server_;
     std::map<std::string, int> runs_;
     std::uint64_t faults_ = 0;
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -63,6 +63,14 @@
             {"warmup-per-s", 0}};
 }
 
+json organisation(const std::string& name, const std::vector<std::string>& keys,
+                  double rate_per_s, double burst)
+{
+    return {{"name", name},   {"api-keys", keys},
+            {"priority", 0},  {"rate-per-s", rate_per_s},
+            {"burst", burst}, {"allowed-regions", json::array()}};
+}
+
 std::string loopback(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -151,8 +159,19 @@
     return true;
 }
 
+void gateway_world::add_organisation(const std::string& name, double rate_per_s,
+                                     double burst)
+{
+    other_organisations_.push_back(
+        organisation(name, {"key-of-" + name}, rate_per_s, burst));
+}
+
 void gateway_world::configure(const json& extra)
 {
+    std::vector<json> organisations = {
+        organisation("acme", keys_, 10000, 10000)};
+    organisations.insert(organisations.end(), other_organisations_.begin(),
+                         other_organisations_.end());
     json maps = route("maps", "idempotent");
     maps.update(extra);
     json orders = route("orders", "non_idempotent");
@@ -166,12 +185,7 @@
           {"max-body-bytes", 65536},
           {"header-timeout", "3000ms"},
           {"idle-timeout", "15000ms"}}},
-        {"tenants", table({{{"name", "acme"},
-                            {"api-keys", keys_},
-                            {"priority", 0},
-                            {"rate-per-s", 10000},
-                            {"burst", 10000},
-                            {"allowed-regions", json::array()}}})}};
+        {"tenants", table(organisations)}};
     store_->put("op/config", document.dump());
 }
 
--- a/tests/soak/caller_load.hpp
+++ b/tests/soak/caller_load.hpp
@@ -27,9 +27,18 @@
                                               { send(draw(), any_vm(), 1); });
     }
 
+    /// @brief Also sends lookups of the organisation that exceeds its rate, in
+    /// spells.
+    void start_bursts(std::uint64_t seed)
+    {
+        burst_random_.seed(seed);
+        bursts_ = world_.caller().loop().every(burst_gap, [this] { burst(); });
+    }
+
     void stop()
     {
         timer_.reset();
+        bursts_.reset();
     }
 
     bool idle() const
@@ -63,6 +72,11 @@
         std::chrono::milliseconds(20), std::chrono::milliseconds(200),
         std::chrono::milliseconds(750)};
     static constexpr std::size_t longest_body = 60000;
+    /// 200 requests per second, ten times the rate of their organisation, for a
+    /// third of the time.
+    static constexpr std::chrono::milliseconds burst_gap{5};
+    static constexpr int burst_requests = 200;
+    static constexpr int burst_period = 3 * burst_requests;
 
     bool chance(std::uint64_t per_hundred)
     {
@@ -88,6 +102,31 @@
         return out;
     }
 
+    void burst()
+    {
+        if (burst_step_++ % burst_period >= burst_requests)
+        {
+            return;
+        }
+        caller_request out;
+        out.id = "look-burst-" + std::to_string(++burst_number_);
+        out.key = key_over_rate;
+        out.object = std::to_string(burst_random_() % 20);
+        out.patience = std::chrono::milliseconds(2000);
+        out.kept_connection = true;
+        const std::size_t vm = burst_random_() % vms_;
+        const time_point sent = world_.caller().loop().now();
+        promises_.on_sent(out, vm, sent);
+        running_[out.id] =
+            world_.send(vm, out,
+                        [this, vm, sent, out](const net::fetch_result& got)
+                        {
+                            promises_.check(vm, sent, out, got);
+                            world_.caller().loop().post(
+                                [this, id = out.id] { running_.erase(id); });
+                        });
+    }
+
     std::size_t any_vm()
     {
         return random_() % vms_;
@@ -158,6 +197,10 @@
     std::map<std::string, std::shared_ptr<net::http_call>> running_;
     std::uint64_t number_ = 0;
     int in_a_row_ = 0;
+    std::mt19937_64 burst_random_;
+    std::shared_ptr<void> bursts_;
+    int burst_step_ = 0;
+    std::uint64_t burst_number_ = 0;
 };
 
 } // namespace soak
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -5,6 +5,7 @@
 #include "caller_load.hpp"
 #include "copy_faults.hpp"
 #include "fault_source.hpp"
+#include "pipelined_load.hpp"
 #include "soak_report.hpp"
 
 #include <gflags/gflags.h>
@@ -38,6 +39,10 @@
 constexpr int recovered_in_a_row = 30;
 /// Sets the numbers of the copies apart from those of the load.
 constexpr std::uint64_t copy_seed = 0x636f7079;
+constexpr std::uint64_t pipeline_seed = 0x70697065;
+constexpr std::uint64_t burst_seed = 0x62757273;
+/// Of the organisation that sends ten times as much in spells.
+constexpr double burst_rate_per_s = 20;
 /// Orders take long enough that each VM always has some in progress.
 constexpr std::chrono::milliseconds order_work{400};
 constexpr unsigned order_slots = 100;
@@ -56,6 +61,7 @@
         {
             standin::platform_target_options options;
             options.id = std::string(service) + "-" + std::to_string(i);
+            options.reports_pace = i % 2 == 0;
             if (std::string(service) == "orders")
             {
                 options.work = order_work;
@@ -89,6 +95,7 @@
 
 /// Prints what was played and what became of the requests.
 void print_summary(const fault_source& faults, const copy_faults& copies,
+                   const pipelined_load& pipelined,
                    const promise_checker& promises, std::uint64_t sent)
 {
     for (const auto& played : {faults.played(), copies.played()})
@@ -105,6 +112,11 @@
     std::cout << "refusals sent " << copies.refusals()
               << ", copies while the request was in progress again "
               << copies.copies_of_same_id() << "\n";
+    for (const auto& [pending, count] : pipelined.answers())
+    {
+        std::cout << "pipelined answers " << count << ": " << pending
+                  << " due on their connection\n";
+    }
     std::cout << "seed " << FLAGS_seed << ", requests " << sent;
     for (const auto& [status, count] : promises.statuses())
     {
@@ -178,6 +190,7 @@
         world.gateway_program(FLAGS_gateway);
     }
     world.set_order_timeout(order_timeout);
+    world.add_organisation("bursts", burst_rate_per_s, burst_rate_per_s);
     const auto targets = add_targets(world);
     world.configure();
     if (!world.start_all())
@@ -194,7 +207,11 @@
     watch(targets, promises);
     fault_source faults(world, promises, targets, fault_random, FLAGS_vms);
     copy_faults copies(world, targets, FLAGS_seed ^ copy_seed, FLAGS_copies);
+    pipelined_load pipelined(world, promises, FLAGS_seed ^ pipeline_seed,
+                             FLAGS_vms);
     load.start(request_gap);
+    load.start_bursts(FLAGS_seed ^ burst_seed);
+    pipelined.start();
     auto striking =
         world.caller().loop().every(fault_gap, [&faults] { faults.strike(); });
     auto copying = world.caller().loop().every(copy_fault_gap,
@@ -212,7 +229,8 @@
         print_vm_states(world, promises);
     }
     load.stop();
-    world.until([&] { return load.idle(); }, quiet_limit);
+    pipelined.stop();
+    world.until([&] { return load.idle() && pipelined.idle(); }, quiet_limit);
     check_lost_watches(world, promises);
     const bool quiet = world.until(
         [&]
@@ -230,7 +248,7 @@
                          "a target saw a key or no organisation");
     }
     keep_logs(world);
-    print_summary(faults, copies, promises, load.sent());
+    print_summary(faults, copies, pipelined, promises, load.sent());
     if (!FLAGS_report.empty() &&
         !write_report(FLAGS_report, FLAGS_seed, faults, copies, promises))
     {
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds pause_allowance{500};
 constexpr int sends_allowed_in_pause = 2;
 
+/// Key of the organisation that sends more than its rate.
+constexpr const char* key_over_rate = "key-of-bursts";
+
 /// @brief A rule that was broken once.
 struct broken_rule
 {
@@ -170,6 +173,8 @@
         }
         require(status != 401 && status != 403 && status != 404, request,
                 "denied although the policy allows it");
+        require(status != 429 || request.key == key_over_rate, request,
+                "over its rate because of another organisation");
     }
 
     /// Judges all orders ever sent, once no target is at work any more: also
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -181,6 +181,11 @@
         keys_ = std::move(keys);
     }
 
+    /// @brief Adds an organisation with one key, `key-of-` and its name, from
+    /// the next version on.
+    void add_organisation(const std::string& name, double rate_per_s,
+                          double burst);
+
     /// @brief Sets the timeout of orders from the next version on.
     void set_order_timeout(std::chrono::milliseconds value)
     {
@@ -226,6 +231,7 @@
     std::unique_ptr<loopback_proxy> store_link_;
     std::string gateway_program_ = "siskinflow_gateway";
     std::vector<std::string> keys_ = {"key-of-acme"};
+    std::vector<nlohmann::json> other_organisations_;
     std::chrono::milliseconds order_timeout_{3000};
     unsigned version_ = 0;
     unsigned last_request_ = 0;
