Wait for the published map in lookups_follow_the_published_map

Cause: the test took the expected answers of two lookups as proof that the VM uses the map that was just published; it polls the store every 5 s. Before that, the order of the VMs is drawn by hashes of incarnations, and both lookups name the expected VM in one of 16 runs; the third lookup then fails in three of four.

Change: the test waits until the VM's metrics name another revision of the map before the lookups. The checks stay.

--- a/tests/process/site_map_process_test.cpp
+++ b/tests/process/site_map_process_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <unistd.h>
 
 using namespace std::chrono_literals;
@@ -17,9 +18,30 @@
 
 constexpr std::chrono::milliseconds map_limit = 10s;
 
-/// Publishes a map of the two clients' blocks.
-int publish(deployment& run, const std::string& second_site)
+/// Revision of the map that the first VM uses; empty: it has loaded none.
+std::string loaded_revision(deployment& run)
 {
+    const auto got =
+        run.caller().get(run.http_port(0), "/siskinflow/v1/metrics");
+    std::istringstream lines(got.response.body);
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.starts_with("siskinflow_revision_known{") &&
+            line.find("sitemap") != std::string::npos)
+        {
+            return line.substr(line.rfind(' ') + 1);
+        }
+    }
+    return "";
+}
+
+/// Publishes a map of the two clients' blocks and waits until the first VM uses
+/// it. Without a map, the order of the VMs is drawn for each client, and names
+/// the expected ones first in some of the runs.
+/// @return whether the VM uses it
+bool publish(deployment& run, const std::string& second_site)
+{
+    const std::string before = loaded_revision(run);
     char path[] = "/tmp/siskinflow-map-XXXXXX";
     const int descriptor = ::mkstemp(path);
     std::ofstream(path) << "site north region-0\n"
@@ -32,7 +54,16 @@
     const int code = run.control({"sitemap", "publish", path}, output);
     ::close(descriptor);
     ::unlink(path);
-    return code;
+    for (auto waited = 0ms; code == 0 && waited < map_limit; waited += 100ms)
+    {
+        const std::string revision = loaded_revision(run);
+        if (!revision.empty() && revision != before)
+        {
+            return true;
+        }
+        run.pause(100ms);
+    }
+    return false;
 }
 
 /// Name of the first VM in the lookup of a client; empty: of the peer.
@@ -77,7 +108,7 @@
     section("clients of two sites get different VMs first",
             [&]
             {
-                EXPECT(publish(run, "south") == 0);
+                EXPECT(publish(run, "south"));
                 EXPECT(wait_first_vm(run, "192.0.2.1", "vm0"));
                 EXPECT(wait_first_vm(run, "198.51.100.1", "vm1"));
                 EXPECT(first_vm(run, "") == "vm1");
@@ -85,7 +116,7 @@
     section("a one-block change moves that client only",
             [&]
             {
-                EXPECT(publish(run, "north") == 0);
+                EXPECT(publish(run, "north"));
                 EXPECT(wait_first_vm(run, "198.51.100.1", "vm0"));
                 EXPECT(first_vm(run, "192.0.2.1") == "vm0");
                 EXPECT(first_vm(run, "") == "vm1");
