--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -163,7 +163,7 @@
         {"services", table({service("maps"), service("orders")})},
         {"limits",
          {{"max-header-bytes", 16384},
-          {"max-body-bytes", 65536},
+          {"max-body-bytes", max_body_bytes_},
           {"header-timeout", "3000ms"},
           {"idle-timeout", "15000ms"}}},
         {"tenants", table({{{"name", "acme"},
--- a/tests/lib/processes.cpp
+++ b/tests/lib/processes.cpp
@@ -151,6 +151,29 @@
     return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t child::peak_resident_bytes() const
+{
+    constexpr std::uint64_t kilobyte = 1024;
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(file, line);)
+    {
+        if (line.rfind("VmHWM:", 0) == 0)
+        {
+            return std::stoull(line.substr(line.find(':') + 1)) * kilobyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t child::open_descriptors() const
+{
+    std::error_code ignored;
+    const std::filesystem::directory_iterator entries(
+        "/proc/" + std::to_string(pid_) + "/fd", ignored);
+    return static_cast<std::size_t>(
+        std::distance(begin(entries), end(entries)));
+}
+
 int run(const std::string& program, const std::vector<std::string>& arguments,
         std::string& output)
 {
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -186,6 +186,12 @@
         order_timeout_ = value;
     }
 
+    /// @brief Sets the limit of bodies from the next version on.
+    void set_max_body_bytes(std::size_t value)
+    {
+        max_body_bytes_ = value;
+    }
+
     /// @brief Replaces the store's address for gateways started from now on.
     void store_port(std::uint16_t port)
     {
@@ -226,6 +232,7 @@
     std::string gateway_program_ = "siskinflow_gateway";
     std::vector<std::string> keys_ = {"key-of-acme"};
     std::chrono::milliseconds order_timeout_{3000};
+    std::size_t max_body_bytes_ = 65536;
     unsigned version_ = 0;
     unsigned last_request_ = 0;
 };
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -47,6 +47,12 @@
     /// @brief Resident memory in bytes, 0 if the process has ended.
     std::uint64_t resident_bytes() const;
 
+    /// @brief Highest resident memory so far in bytes, 0 as above.
+    std::uint64_t peak_resident_bytes() const;
+
+    /// @brief Open descriptors, 0 as above.
+    std::size_t open_descriptors() const;
+
 private:
     pid_t pid_ = -1;
 };
