Reserve memory for the answers of targets before they are read

Cause: answers of targets were received without any bound, so that 60 answers of 4 MB took a gateway to 276 MB.

Change: response_buffer reserves the announced length in the memory budget before a body is read and pauses the call while there is no room; without a length the reservation grows in steps. An attempt that lacks memory counts neither against its target nor as a reason for a further attempt and ends with 502 no_memory.

--- a/include/siskinflow/gateway/gateway_settings.hpp
+++ b/include/siskinflow/gateway/gateway_settings.hpp
@@ -27,6 +27,8 @@
     /// Region of each failure domain of the deployment.
     std::map<std::string, std::string> regions;
     std::size_t max_connections = 0;
+    std::size_t memory_bytes = 256UL << 20; ///< Of the machine.
+    std::size_t max_descriptors = 4096;     ///< Of the process.
     duration stop_grace{0};      ///< From SIGTERM to the forced exit.
     duration lookup_lifetime{0}; ///< Of a lookup answer.
     /// Time within which a change must be in force on all VMs.
--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -44,6 +44,10 @@
     std::string target = "/"; ///< Path and query.
     http_headers headers;     ///< Without framing and `host`.
     std::string body;
+    /// Sent in place of `body` unless empty. The bytes belong to `body_owner`,
+    /// which the call keeps, so that further attempts need no copies of them.
+    std::string_view shared_body;
+    std::shared_ptr<const void> body_owner;
     /// Identifies the request to the peer: a connection carries it once at
     /// most. Empty: any connection may carry the request.
     std::string id;
@@ -57,6 +61,12 @@
     /// seconds, at least 3; 0 sends no probes. For calls that wait long
     /// without receiving data.
     duration keepalive_timeout{0};
+
+    /// @brief The body that is sent.
+    std::string_view body_bytes() const
+    {
+        return shared_body.empty() ? std::string_view(body) : shared_body;
+    }
 };
 
 /// @brief Receives the answer of a call in parts.
--- a/include/siskinflow/net/memory_budget.hpp
+++ b/include/siskinflow/net/memory_budget.hpp
@@ -26,6 +26,10 @@
     unsent_answer, ///< Parts of an answer that are not yet written.
 };
 
+/// @brief Number of kinds, for tables.
+inline constexpr std::size_t hold_kind_count =
+    static_cast<std::size_t>(hold_kind::unsent_answer) + 1;
+
 /// @brief Name of a kind in snake_case, "unknown" if undefined.
 std::string_view name(hold_kind value) noexcept;
 
@@ -152,12 +156,21 @@
     /// @brief Accounted bytes of all holds.
     std::size_t held() const;
 
+    /// @brief Accounted bytes of one kind.
+    std::size_t held(hold_kind kind) const;
+
     /// @brief Size of the budget.
     std::size_t limit() const;
 
     /// @brief Owners evicted since the start.
     std::uint64_t evictions() const;
 
+    /// @brief Those evicted for holds of one kind.
+    std::uint64_t evictions(hold_kind kind) const;
+
+    /// @brief Growths since the start that failed.
+    std::uint64_t failed_growths() const;
+
     /// @brief Runs a callback once, from the event loop, when a failed growth
     /// could succeed. While callbacks wait, owners that become stalled are
     /// evicted.
--- a/include/siskinflow/telemetry/event_id.hpp
+++ b/include/siskinflow/telemetry/event_id.hpp
@@ -76,6 +76,8 @@
     target_wanted_again = 1215,
     order_sent_again = 1216,
     foreign_answer = 1217,
+    memory_scarce = 1230,
+    connections_scarce = 1231,
 };
 
 /// @brief One row of the table, described in `docs/events.md`.
--- a/include/siskinflow/telemetry/metric_id.hpp
+++ b/include/siskinflow/telemetry/metric_id.hpp
@@ -61,6 +61,10 @@
     withdrawn_targets,
     malformed_answer_fields,
     foreign_answers,
+    memory_held,
+    memory_limit,
+    memory_evictions,
+    memory_waits,
 };
 
 /// @brief One row of the table, described in `docs/metrics.md`.
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,4 +1,7 @@
 #include "gateway_state.hpp"
+#include "memory/connection_limits.hpp"
+#include "memory/memory_return.hpp"
+#include "memory/memory_watch.hpp"
 #include "peer_exchange.hpp"
 #include "relayed_store.hpp"
 #include "request_flow.hpp"
@@ -55,6 +58,10 @@
 constexpr std::uint32_t log_burst = 60;
 constexpr std::uint32_t log_lines_per_s = 12;
 constexpr std::size_t max_buffered_body_bytes = 64U << 20;
+/// Readiness checks, lookups and reads of metrics have no body.
+constexpr std::size_t max_query_body_bytes = 4096;
+/// Time between two looks at the memory that is held for callers.
+constexpr duration memory_check_interval = std::chrono::seconds(1);
 /// Longer than the idle timeouts that policies set for callers, so that callers
 /// close first.
 constexpr duration caller_idle_timeout = std::chrono::seconds(60);
@@ -123,7 +130,8 @@
                        vm_prefix + state.settings.self.name,
                        to_json(state.settings.self), registration_ttl),
           peer_messages(state, incarnation, [this] { return ready(); }),
-          relay(loop_in, incarnation, [this] { return passes_changes_on(); })
+          relay(loop_in, incarnation, [this] { return passes_changes_on(); }),
+          memory(*state.memory, log, metric_set)
     {
         share_prefix(platform_in.records.operator_prefix(), recorded_operators,
                      operator_mirror);
@@ -170,10 +178,12 @@
     std::unique_ptr<net::http_server> readiness;
     std::unique_ptr<net::http_server> directory;
     std::unique_ptr<net::http_server> metrics_page;
+    memory_watch memory;
     std::vector<std::shared_ptr<void>> timers;
     std::function<void()> on_stopped;
     bool requests_cut = false;         ///< Near the end of a planned stop.
     time_point registration_lost_at{}; ///< When renewals began to fail.
+    std::size_t max_request_connections = 0;
 
     bool ready() const
     {
@@ -236,6 +246,12 @@
                !vm_mirror.unavailable();
     }
 
+    caller_connections_seen caller_connections() const
+    {
+        const net::http_server_stats seen = requests->stats();
+        return {seen.open, max_request_connections, seen.over_connection_limit};
+    }
+
     result<void> listen();
     void start_tasks();
     void update_readiness();
@@ -255,27 +271,37 @@
     const gateway_settings& settings = state.settings;
     net::http_server_options options;
     options.max_body_bytes = max_buffered_body_bytes;
-    options.max_connections = settings.max_connections;
     options.request_timeout = caller_idle_timeout;
+    const connection_limits limits = divide_descriptors(
+        usable_descriptors(settings.max_descriptors), settings.max_connections);
+    max_request_connections = limits.requests;
     using handler = net::http_server::handler;
     struct listener
     {
         const char* purpose;
         net::endpoint address;
+        std::size_t max_connections;
+        std::size_t max_body_bytes;
         std::unique_ptr<net::http_server>* server;
         handler handle;
     };
     const listener listeners[] = {
-        {"requests", settings.self.requests, &requests,
+        {"requests", settings.self.requests, limits.requests,
+         max_buffered_body_bytes, &requests,
          [this](const net::exchange_ptr& exchange) { on_request(exchange); }},
-        {"readiness", settings.readiness_listen, &readiness,
+        {"readiness", settings.readiness_listen, limits.readiness,
+         max_query_body_bytes, &readiness,
          [this](const net::exchange_ptr& exchange) { on_readiness(exchange); }},
-        {"directory", settings.directory_listen, &directory,
+        {"directory", settings.directory_listen, limits.directory,
+         max_query_body_bytes, &directory,
          [this](const net::exchange_ptr& exchange) { on_lookup(exchange); }},
-        {"metrics", settings.metrics_listen, &metrics_page,
+        {"metrics", settings.metrics_listen, limits.metrics,
+         max_query_body_bytes, &metrics_page,
          [this](const net::exchange_ptr& exchange) { on_metrics(exchange); }}};
     for (const listener& entry : listeners)
     {
+        options.max_connections = entry.max_connections;
+        options.max_body_bytes = entry.max_body_bytes;
         auto opened = net::http_server::listen(loop, entry.address, options,
                                                entry.handle);
         if (!opened)
@@ -287,7 +313,7 @@
                   {{"purpose", entry.purpose},
                    {"address", net::to_string(entry.address)}});
     }
-    const auto relaying = relay.listen(settings.self.peers);
+    const auto relaying = relay.listen(settings.self.peers, limits.relay);
     if (!relaying)
     {
         return relaying.error();
@@ -335,6 +361,9 @@
         loop.every(split_update_interval, [this] { state.update_splits(); }));
     timers.push_back(loop.every(confirming_update_interval,
                                 [this] { update_confirming(); }));
+    timers.push_back(
+        loop.every(memory_check_interval, [this]
+                   { memory.check(caller_connections(), state.now()); }));
     timers.push_back(loop.every(placement_interval,
                                 [this]
                                 {
@@ -405,6 +434,7 @@
 void gateway_node::impl::on_metrics(const net::exchange_ptr& exchange)
 {
     set_withdrawn_targets();
+    memory.set_metrics(caller_connections());
     metric_set.counter(metric_id::log_lines_suppressed)
         .raise_to(log.suppressed() + dropped_log_lines);
     exchange->respond({200,
@@ -495,6 +525,7 @@
 gateway_node::start(net::event_loop& loop, net::http_caller& http_client,
                     const gateway_platform& platform, gateway_settings settings)
 {
+    configure_allocator();
     auto state = std::make_unique<impl>(loop, http_client, platform,
                                         std::move(settings));
     const auto listening = state->listen();
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -22,6 +22,12 @@
 DEFINE_string(domain_regions, "",
               "Region of each failure domain, as a comma-separated list of "
               "domain=region");
+DEFINE_uint64(memory_limit, 256,
+              "Memory of the machine in MB; bodies and answers get a third of "
+              "what 24 MB for the process leave (32-1000000)");
+DEFINE_uint64(descriptor_limit, 4096,
+              "Descriptors that the process may open; a lower limit of the "
+              "system wins (512-1000000)");
 DEFINE_string(stop_grace, "6s",
               "Time from SIGTERM to the forced exit of the process");
 DEFINE_string(directory_lifetime, "1s", "Lifetime of a lookup answer");
@@ -122,6 +128,12 @@
 {
     out.max_connections =
         check.number("max_connections", FLAGS_max_connections, 1, 1'000'000);
+    constexpr std::size_t megabyte = 1U << 20;
+    out.memory_bytes =
+        check.number("memory_limit", FLAGS_memory_limit, 32, 1'000'000) *
+        megabyte;
+    out.max_descriptors = check.number("descriptor_limit",
+                                       FLAGS_descriptor_limit, 512, 1'000'000);
     out.stop_grace = check.duration_value("stop_grace", FLAGS_stop_grace);
     out.lookup_lifetime =
         check.duration_value("directory_lifetime", FLAGS_directory_lifetime);
@@ -158,6 +170,8 @@
                                                    "store",
                                                    "domain_regions",
                                                    "max_connections",
+                                                   "memory_limit",
+                                                   "descriptor_limit",
                                                    "stop_grace",
                                                    "directory_lifetime",
                                                    "policy_limit",
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -42,6 +42,8 @@
                              gateway_settings settings_in)
     : loop(loop_in), http_client(http_client_in), protocol(protocol_in),
       log(log_in), metric_set(metric_set_in), settings(std::move(settings_in)),
+      memory(std::make_shared<net::memory_budget>(
+          net::limits_for_machine(settings.memory_bytes), loop_in)),
       targets({settings.self.failure_domain, settings.self.region}),
       chooser(targets, costs_of(settings)), peers(settings.self),
       started_at(loop_in.now()),
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -18,6 +18,7 @@
 #include <siskinflow/gateway/work_estimate.hpp>
 #include <siskinflow/net/event_loop.hpp>
 #include <siskinflow/net/http_client.hpp>
+#include <siskinflow/net/memory_budget.hpp>
 #include <siskinflow/store/store.hpp>
 #include <siskinflow/telemetry/log.hpp>
 #include <siskinflow/telemetry/metrics.hpp>
@@ -49,6 +50,8 @@
     event_log& log;
     metrics& metric_set;
     gateway_settings settings;
+    /// Bytes that are held for callers.
+    std::shared_ptr<net::memory_budget> memory;
 
     std::shared_ptr<const policy_index> policy; ///< Null until one is known.
     time_point policy_since{};
--- /dev/null
+++ b/src/gateway/memory/connection_limits.cpp
@@ -0,0 +1,55 @@
+#include "connection_limits.hpp"
+
+#include <algorithm>
+#include <sys/resource.h>
+
+namespace siskinflow::gateway
+{
+
+namespace
+{
+
+/// Connections to targets and the store, sockets to other VMs, the listeners
+/// and the loop's own descriptors.
+constexpr std::size_t own_descriptors = 256;
+/// Lookups are short; a fleet of callers makes about one per second each.
+constexpr std::size_t max_directory = 128;
+/// The largest failure domain has 74 VMs, each with three reads in progress.
+constexpr std::size_t max_relay = 256;
+/// The platform and a few collectors of metrics.
+constexpr std::size_t max_operator_connections = 64;
+/// Parts of the descriptors, for small limits.
+constexpr std::size_t listener_part = 8;
+constexpr std::size_t operator_part = 32;
+constexpr std::size_t min_callers = 32;
+
+} // namespace
+
+connection_limits divide_descriptors(std::size_t max_descriptors,
+                                     std::size_t max_callers)
+{
+    connection_limits out;
+    out.directory = std::min(max_directory, max_descriptors / listener_part);
+    out.relay = std::min(max_relay, max_descriptors / listener_part);
+    out.readiness =
+        std::min(max_operator_connections, max_descriptors / operator_part);
+    out.metrics = out.readiness;
+    const std::size_t others = own_descriptors + out.directory + out.relay +
+                               out.readiness + out.metrics;
+    const std::size_t left =
+        max_descriptors - std::min(max_descriptors, others);
+    out.requests = std::min(max_callers, std::max(min_callers, left));
+    return out;
+}
+
+std::size_t usable_descriptors(std::size_t setting)
+{
+    rlimit of_system{};
+    if (::getrlimit(RLIMIT_NOFILE, &of_system) != 0)
+    {
+        return setting;
+    }
+    return std::min<std::size_t>(setting, of_system.rlim_cur);
+}
+
+} // namespace siskinflow::gateway
--- /dev/null
+++ b/src/gateway/memory/connection_limits.hpp
@@ -0,0 +1,33 @@
+/// @file
+/// @brief How the descriptors of a process are divided.
+#pragma once
+
+#include <cstddef>
+
+namespace siskinflow::gateway
+{
+
+/// @brief Connections that each listener may have open.
+struct connection_limits
+{
+    std::size_t requests = 0;
+    std::size_t directory = 0;
+    std::size_t relay = 0; ///< Other VMs that read changes of the store.
+    std::size_t readiness = 0;
+    std::size_t metrics = 0;
+};
+
+/// @brief Divides the descriptors of the process. Addresses connections of
+/// callers that are opened and never closed: they can't take the descriptors
+/// that targets, other VMs, the store, lookups and the readiness check need.
+/// @param max_descriptors of the process, at least 512
+/// @param max_callers limit that an operator has set for callers
+connection_limits divide_descriptors(std::size_t max_descriptors,
+                                     std::size_t max_callers);
+
+/// @brief Descriptors that the process may open.
+/// @param setting limit that an operator has set
+/// @return the setting, or the system's limit if that is lower
+std::size_t usable_descriptors(std::size_t setting);
+
+} // namespace siskinflow::gateway
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -8,6 +8,45 @@
 namespace siskinflow::gateway
 {
 
+namespace
+{
+
+constexpr std::size_t max_answer_bytes = 32U << 20;
+
+} // namespace
+
+std::shared_ptr<response_buffer> request_flow::make_body()
+{
+    const auto act = [weak = weak_from_this()](auto&& action)
+    {
+        const auto self = weak.lock();
+        if (self != nullptr && self->call_ != nullptr)
+        {
+            action(*self);
+        }
+    };
+    return response_buffer::make(
+        *state_.memory, state_.loop, exchange_->request().peer,
+        {[act] { act([](request_flow& self) { self.call_->pause(); }); },
+         [act] { act([](request_flow& self) { self.call_->resume(); }); },
+         [act]
+         {
+             act(
+                 [](request_flow& self)
+                 {
+                     self.call_->cancel();
+                     self.end_call_later(net::call_outcome::broken);
+                 });
+         }});
+}
+
+/// Whether the present attempt waits for memory, or lost its body to others.
+/// It says nothing about the target.
+bool request_flow::lacks_memory() const
+{
+    return body_ != nullptr && (body_->waits() || body_->evicted());
+}
+
 /// Detects a target that died silently long before the caller's deadline, which
 /// leaves time to try another one.
 void request_flow::start_attempt_timer()
@@ -40,7 +79,7 @@
     {
         return;
     }
-    const bool target_alive = target_->answered_at() > sent_;
+    const bool target_alive = target_->answered_at() > sent_ || lacks_memory();
     if (target_alive || state_.stop || !choose().choice || !take_retry())
     {
         start_attempt_timer();
@@ -57,7 +96,6 @@
 
 net::client_request request_flow::request_to(const target_choice& choice) const
 {
-    constexpr std::size_t max_answer_bytes = 32U << 20;
     constexpr duration connect_timeout_in_region =
         std::chrono::milliseconds(250);
     constexpr duration connect_timeout_other_region =
@@ -96,7 +134,7 @@
     sent_ = now;
     status_ = 0;
     headers_ = {};
-    body_.clear();
+    body_ = make_body();
     answer_fields_ = {};
     target_->on_sent(now);
     state_.queue_of(service_).on_placed(now);
@@ -113,7 +151,7 @@
 }
 
 void request_flow::on_head(int status, const net::http_headers& headers,
-                           std::optional<std::size_t> /*content_length*/)
+                           std::optional<std::size_t> content_length)
 {
     status_ = status;
     headers_ = headers;
@@ -134,6 +172,12 @@
     {
         apply_wish();
     }
+    // A reservation may end other requests of the same connection, and this one
+    // with them.
+    const auto self = shared_from_this();
+    const auto body = body_;
+    body->reserve(expected_body_bytes(exchange_->request().method, status,
+                                      content_length, max_answer_bytes));
 }
 
 void request_flow::apply_wish()
@@ -181,20 +225,28 @@
                           {"says_not_run", answer_fields_.not_run}});
     }
     call_->cancel();
+    end_call_later(net::call_outcome::broken);
+}
+
+/// Ends a cancelled call from the loop, because its callbacks may be running.
+void request_flow::end_call_later(net::call_outcome outcome)
+{
     state_.loop.post(
-        [weak = weak_from_this(), call = call_]
+        [weak = weak_from_this(), call = call_, outcome]
         {
             const auto self = weak.lock();
             if (self != nullptr && self->call_ == call)
             {
-                self->on_end(net::call_outcome::broken);
+                self->on_end(outcome);
             }
         });
 }
 
 void request_flow::on_body(std::string_view part)
 {
-    body_.append(part);
+    const auto self = shared_from_this();
+    const auto body = body_;
+    body->append(part);
 }
 
 /// Copies of an answer may follow it on its connection, whole or cut so that
@@ -232,7 +284,10 @@
     {
         return;
     }
-    const attempt_result result = classify_outcome(outcome);
+    const bool no_memory =
+        lacks_memory() && outcome != net::call_outcome::complete;
+    const attempt_result result =
+        no_memory ? attempt_result::abandoned : classify_outcome(outcome);
     update_estimates(result);
     release_target(result);
     const auto self = shared_from_this();
@@ -240,6 +295,11 @@
     {
         deliver();
     }
+    else if (no_memory)
+    {
+        end_unserved(refusal_reason::target_refused, failure_reason::no_memory,
+                     std::nullopt);
+    }
     else
     {
         retry_or_end(result);
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -17,9 +17,9 @@
 /// The retry-after time is at most the caller's remaining time divided by this.
 constexpr int retry_after_divisor = 3;
 
-constexpr std::array<std::string_view, 6> failure_names = {
-    "connection_lost", "bad_answer",  "target_failed",
-    "timed_out",       "cut_by_stop", "sent_before"};
+constexpr std::array<std::string_view, 7> failure_names = {
+    "connection_lost", "bad_answer",  "target_failed", "timed_out",
+    "cut_by_stop",     "sent_before", "no_memory"};
 
 } // namespace
 
@@ -35,9 +35,13 @@
         return;
     }
     const auto self = shared_from_this();
-    give_up_call(attempt_result::no_answer);
+    const bool no_memory = lacks_memory();
+    give_up_call(no_memory ? attempt_result::abandoned
+                           : attempt_result::no_answer);
     end_unserved(refusal_reason::deadline_exceeded_in_queue,
-                 failure_reason::timed_out, std::nullopt);
+                 no_memory ? failure_reason::no_memory
+                           : failure_reason::timed_out,
+                 std::nullopt);
     state_.place_waiting(service_);
 }
 
@@ -103,8 +107,10 @@
         log_not_served(status_, "target_answered_failure", std::nullopt);
     }
     state_.targets.exchange_sizes(service_).observe(
-        exchange_->request().body.size() + body_.size());
-    exchange_->respond({status_, std::move(headers_), std::move(body_)});
+        exchange_->request().body.size() + body_->size());
+    // The exchange accounts for the body from here on. Nothing else can take
+    // the room meanwhile, because waiting owners are called from the loop.
+    exchange_->respond({status_, std::move(headers_), body_->take()});
     finish();
 }
 
@@ -175,6 +181,7 @@
     state_.loop.cancel(deadline_timer_);
     state_.loop.cancel(attempt_timer_);
     call_.reset();
+    body_.reset();
     state_.in_progress.erase(shared_from_this());
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -222,6 +222,7 @@
 
 void request_flow::place()
 {
+    body_.reset(); // That of an earlier attempt, which is not delivered.
     const auto permission = attempts_->may_send(route_->idempotent);
     if (!permission)
     {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway_state.hpp"
+#include "memory/response_buffer.hpp"
 #include <siskinflow/admission/refusal.hpp>
 #include <siskinflow/gateway/attempt_history.hpp>
 #include <siskinflow/net/http_server.hpp>
@@ -25,6 +26,7 @@
     timed_out,     ///< No answer within the timeout of route or caller.
     cut_by_stop,   ///< The process stopped first.
     sent_before,   ///< An order of this id may have run, or is in progress.
+    no_memory,     ///< There was no room for the target's answer.
 };
 
 std::string_view name(failure_reason value) noexcept;
@@ -79,6 +81,7 @@
     // Attempts
     void send(const target_choice& choice, send_permission permission);
     net::client_request request_to(const target_choice& choice) const;
+    std::shared_ptr<response_buffer> make_body();
     void start_attempt_timer();
     void on_attempt_timer();
     void refuse_foreign_answer();
@@ -93,6 +96,8 @@
     // Ends
     void on_deadline();
     void give_up_call(attempt_result result);
+    void end_call_later(net::call_outcome outcome);
+    bool lacks_memory() const;
     void on_caller_gone();
     void deliver();
     void end_unserved(refusal_reason refusal, failure_reason failure,
@@ -145,7 +150,7 @@
 
     int status_ = 0;
     net::http_headers headers_;
-    std::string body_;
+    std::shared_ptr<response_buffer> body_; ///< Of the present attempt.
     answer_fields answer_fields_;
     bool ended_ = false;
 };
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -15,7 +15,6 @@
 constexpr duration check_interval = std::chrono::milliseconds(100);
 /// Time between two calls that bring a log to the store's present revision.
 constexpr duration catch_up_interval = std::chrono::seconds(2);
-constexpr std::size_t max_connections = 512;
 constexpr std::size_t max_request_bytes = 1024;
 
 constexpr int status_ok = 200;
@@ -31,7 +30,8 @@
 {
 }
 
-result<void> store_relay::listen(const net::endpoint& address)
+result<void> store_relay::listen(const net::endpoint& address,
+                                 std::size_t max_connections)
 {
     net::http_server_options options;
     options.max_body_bytes = max_request_bytes;
--- a/src/gateway/store_relay.hpp
+++ b/src/gateway/store_relay.hpp
@@ -29,7 +29,8 @@
                 std::function<bool()> current);
 
     /// @brief Opens the listener.
-    result<void> listen(const net::endpoint& address);
+    result<void> listen(const net::endpoint& address,
+                        std::size_t max_connections = 256);
 
     /// @brief Adds the log of a prefix; it must outlive the relay.
     /// @param catch_up brings the log to the store's present revision; called
--- a/src/net/client_call.cpp
+++ b/src/net/client_call.cpp
@@ -130,8 +130,16 @@
 
 void client_call::pause()
 {
-    if (client_ == nullptr || client_->sock == nullptr ||
-        paused_callback_ != nullptr)
+    paused_ = true;
+    stop_reading();
+}
+
+/// After a head, h2o starts to read the body in any case, so a pause from
+/// within a callback takes effect again when the callback has returned.
+void client_call::stop_reading()
+{
+    if (!paused_ || client_ == nullptr || client_->sock == nullptr ||
+        client_->sock->_cb.read == nullptr)
     {
         return;
     }
@@ -141,6 +149,7 @@
 
 void client_call::resume()
 {
+    paused_ = false;
     if (paused_callback_ == nullptr)
     {
         return;
@@ -170,10 +179,10 @@
     self->connection_->on_sent(self->id_, client->sock);
     self->sent_in_pass_ = self->owner_->loop.handle().passes;
     self->buffers_[0] = h2o_iovec_init(self->head_.data(), self->head_.size());
-    self->buffers_[1] =
-        h2o_iovec_init(self->request_.body.data(), self->request_.body.size());
+    const std::string_view body = self->request_.body_bytes();
+    self->buffers_[1] = h2o_iovec_init(body.data(), body.size());
     *buffers = self->buffers_;
-    *count = self->request_.body.empty() ? 1 : 2;
+    *count = body.empty() ? 1 : 2;
     *is_head = self->request_.method == "HEAD" ? 1 : 0;
     self->enable_keepalive_probes();
     self->owner_->loop.post(
@@ -256,6 +265,7 @@
         self->release_connection();
         return;
     }
+    self->stop_reading();
     self->unread_bytes_ = socket->input->size;
     if (self->exceeds_framing_limit())
     {
--- a/src/net/client_call.hpp
+++ b/src/net/client_call.hpp
@@ -64,6 +64,7 @@
     static void on_readable(h2o_socket_t* socket, const char* error);
     static client_call* from_socket(h2o_socket_t* socket);
 
+    void stop_reading();
     void intercept_callbacks();
     void intercept_reads();
     bool is_head_parsable();
@@ -96,6 +97,7 @@
     timer_id connect_timer_ = 0;
     timer_id deadline_timer_ = 0;
     h2o_socket_cb paused_callback_ = nullptr;
+    bool paused_ = false;
     h2o_socket_cb native_write_callback_ = nullptr; ///< h2o's own.
     h2o_socket_cb native_read_callback_ = nullptr;
     bool body_ends_on_close_ = false;  ///< No framing.
--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> kind_names = {
+constexpr std::array<std::string_view, hold_kind_count> kind_names = {
     "request_body", "kept_body", "response", "unsent_answer"};
 
 /// Code, state and buffers that are not accounted for.
@@ -88,6 +88,13 @@
     std::size_t total = 0;
 };
 
+/// Figures of the holds of one kind.
+struct kind_counts
+{
+    std::size_t bytes = 0;
+    std::uint64_t evictions = 0;
+};
+
 /// One hold.
 struct memory_budget::record
 {
@@ -136,6 +143,8 @@
     {
         (is_small(entry.bytes) ? small : large) -= entry.bytes;
         (is_small(bytes) ? small : large) += bytes;
+        kind_counts& of_kind = counts.at(static_cast<std::size_t>(entry.kind));
+        of_kind.bytes += bytes - entry.bytes;
         if (!entry.address.empty())
         {
             address_account& account = accounts[entry.address];
@@ -182,6 +191,7 @@
         record& entry = *holds[*victim];
         entry.evicted = true;
         ++evictions;
+        ++counts.at(static_cast<std::size_t>(entry.kind)).evictions;
         // The owner may be destroyed by its own callbacks.
         const auto owner = entry.owner.lock();
         owner->evict();
@@ -203,6 +213,7 @@
                                             ? entry.get()
                                             : nullptr))
             {
+                ++failed_growths;
                 return false;
             }
         }
@@ -268,6 +279,8 @@
     std::size_t small = 0;
     std::size_t large = 0;
     std::uint64_t evictions = 0;
+    std::uint64_t failed_growths = 0;
+    std::array<kind_counts, hold_kind_count> counts;
     std::vector<std::function<void()>> waiting;
     bool wake_up_scheduled = false;
     timer_id eviction_timer = 0;
@@ -278,8 +291,7 @@
 {
 }
 
-memory_budget::hold&
-memory_budget::hold::operator=(hold&& other) noexcept
+memory_budget::hold& memory_budget::hold::operator=(hold&& other) noexcept
 {
     hold released(std::move(*this));
     record_ = std::move(other.record_);
@@ -350,6 +362,11 @@
     return impl_->small + impl_->large;
 }
 
+std::size_t memory_budget::held(hold_kind kind) const
+{
+    return impl_->counts.at(static_cast<std::size_t>(kind)).bytes;
+}
+
 std::size_t memory_budget::limit() const
 {
     return impl_->limits.bytes;
@@ -360,6 +377,16 @@
     return impl_->evictions;
 }
 
+std::uint64_t memory_budget::evictions(hold_kind kind) const
+{
+    return impl_->counts.at(static_cast<std::size_t>(kind)).evictions;
+}
+
+std::uint64_t memory_budget::failed_growths() const
+{
+    return impl_->failed_growths;
+}
+
 void memory_budget::on_room(std::function<void()> callback)
 {
     impl_->waiting.push_back(std::move(callback));
--- a/src/net/request_head.cpp
+++ b/src/net/request_head.cpp
@@ -38,12 +38,14 @@
             head.append(name).append(": ").append(value).append("\r\n");
         }
     }
-    const bool has_body = !request.body.empty() || request.method == "POST" ||
-                          request.method == "PUT" || request.method == "PATCH";
+    const bool has_body = !request.body_bytes().empty() ||
+                          request.method == "POST" || request.method == "PUT" ||
+                          request.method == "PATCH";
     if (has_body)
     {
         head +=
-            "content-length: " + std::to_string(request.body.size()) + "\r\n";
+            "content-length: " + std::to_string(request.body_bytes().size()) +
+            "\r\n";
     }
     head += request.fresh_connection ? "connection: close\r\n\r\n"
                                      : "connection: keep-alive\r\n\r\n";
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -86,6 +86,12 @@
 constexpr std::string_view foreign_answer_fields[] = {
     "request", "target", "answer_to", "status", "says_not_run"};
 
+constexpr std::string_view memory_scarce_fields[] = {
+    "held",           "limit",   "request_bodies", "responses",
+    "unsent_answers", "evicted", "waits"};
+constexpr std::string_view connections_scarce_fields[] = {"open", "limit",
+                                                          "refused"};
+
 constexpr event_info table[] = {
     {event_id::started, "started", log_level::info, started_fields},
     {event_id::setting_refused, "setting_refused", log_level::error,
@@ -169,6 +175,10 @@
      order_sent_again_fields},
     {event_id::foreign_answer, "foreign_answer", log_level::warning,
      foreign_answer_fields},
+    {event_id::memory_scarce, "memory_scarce", log_level::warning,
+     memory_scarce_fields},
+    {event_id::connections_scarce, "connections_scarce", log_level::warning,
+     connections_scarce_fields},
 };
 
 } // namespace
--- a/src/telemetry/metric_id.cpp
+++ b/src/telemetry/metric_id.cpp
@@ -118,6 +118,15 @@
     {foreign_answers, "siskinflow_foreign_answers_total", counter, "answers",
      no_labels,
      "Answers of targets that belonged to no request or to another one."},
+    {memory_held, "siskinflow_memory_held_bytes", gauge, "bytes", kind_label,
+     "Bytes that are held for callers, by what they are part of."},
+    {memory_limit, "siskinflow_memory_limit_bytes", gauge, "bytes", no_labels,
+     "Bytes that may be held for callers."},
+    {memory_evictions, "siskinflow_memory_evictions_total", counter, "requests",
+     kind_label,
+     "Stalled requests that were given up for their memory, by its use."},
+    {memory_waits, "siskinflow_memory_waits_total", counter, "attempts",
+     no_labels, "Attempts to hold more bytes that had to wait or failed."},
 };
 
 } // namespace
--- a/tests/unit/config_settings_test.cpp
+++ b/tests/unit/config_settings_test.cpp
@@ -212,4 +212,8 @@
                     "--domain_regions: 'z1'"));
     EXPECT(contains(fault({"--domain_regions=z1=north", "--retry_ratio=2"}),
                     "--retry_ratio"));
+    EXPECT(contains(fault({"--retry_ratio=0.2", "--memory_limit=31"}),
+                    "--memory_limit"));
+    EXPECT(contains(fault({"--memory_limit=32", "--descriptor_limit=511"}),
+                    "--descriptor_limit"));
 }
--- a/tests/unit/net_test.cpp
+++ b/tests/unit/net_test.cpp
@@ -254,9 +254,11 @@
     {
         std::size_t received = 0;
         std::optional<call_outcome> ended;
+        std::function<void()> at_head = [] {};
         void on_head(int, const http_headers&,
                      std::optional<std::size_t>) override
         {
+            at_head();
         }
         void on_body(std::string_view body) override
         {
@@ -267,18 +269,36 @@
             ended = outcome;
         }
     };
-    auto observer = std::make_shared<counting_observer>();
-    const auto call =
-        fixture.client.start(fixture.request("GET", "/"), observer);
-    EXPECT(fixture.run_until([&] { return observer->received > 0; }));
-    call->pause();
-    fixture.run_until([] { return false; }, 300ms);
-    section("the sender stopped far from the end",
-            [&] { EXPECT(written < total / 2); });
-    call->resume();
-    EXPECT(fixture.run_until([&] { return observer->ended.has_value(); }, 20s));
-    EXPECT(*observer->ended == call_outcome::complete);
-    EXPECT(observer->received == total);
+    const auto call_with_pause = [&](bool at_head)
+    {
+        written = 0;
+        auto observer = std::make_shared<counting_observer>();
+        std::shared_ptr<http_call> call;
+        bool head_received = false;
+        observer->at_head = [&]
+        {
+            head_received = true;
+            if (at_head)
+            {
+                call->pause();
+            }
+        };
+        call = fixture.client.start(fixture.request("GET", "/"), observer);
+        EXPECT(fixture.run_until(
+            [&] { return at_head ? head_received : observer->received > 0; }));
+        call->pause();
+        fixture.run_until([] { return false; }, 300ms);
+        EXPECT(written < total / 2);
+        call->resume();
+        EXPECT(fixture.run_until([&] { return observer->ended.has_value(); },
+                                 20s));
+        EXPECT(*observer->ended == call_outcome::complete);
+        EXPECT(observer->received == total);
+    };
+    section("by a pause while the body is received",
+            [&] { call_with_pause(false); });
+    section("by a pause when the head arrives, before any of the body is read",
+            [&] { call_with_pause(true); });
 }
 
 // Guards against bodies and connections beyond their limits.
