Replace h2o's HTTP/1 server by connections of our own

h2o 2.2 handles one request of a connection at a time, reads whole bodies without an account of the memory and finds disconnects by polling. The server now runs pipelined requests together and answers them in order, accounts for bodies and answers in the memory budget, evicts those that are stalled, and enforces timeouts on heads, bodies, idle connections and readers.

Connections that wait for the client's close after the last answer do not count towards the limit.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief HTTP/1.1 server on h2o.
+/// @brief HTTP/1.1 server on h2o's sockets and event loop.
 #pragma once
 
 #include <siskinflow/core/clock.hpp>
@@ -7,6 +7,7 @@
 #include <siskinflow/net/endpoint.hpp>
 #include <siskinflow/net/event_loop.hpp>
 #include <siskinflow/net/http_types.hpp>
+#include <siskinflow/net/memory_budget.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -40,7 +41,10 @@
 /// @brief One request and the answer to it.
 ///
 /// The server holds the exchange until it is answered. `on_cancel` is called
-/// once if the caller disconnects first; writing afterwards has no effect.
+/// once if the caller disconnects first, or if the connection is closed by the
+/// answer to an earlier request; writing afterwards has no effect. Callbacks
+/// are called from the event loop, never from inside a call of the exchange,
+/// and may answer or release any exchange.
 class http_exchange
 {
 public:
@@ -86,11 +90,32 @@
 using exchange_ptr = std::shared_ptr<http_exchange>;
 
 /// @brief Limits and files of a server.
+///
+/// A request that exceeds a limit gets 408, 413 or 431 and its connection is
+/// closed; it has not been handed to the handler.
 struct http_server_options
 {
-    std::size_t max_body_bytes = 1024 * 1024; ///< Larger bodies get 413.
-    std::size_t max_connections = 1024;       ///< Further ones get 503.
-    duration request_timeout = std::chrono::seconds(10); ///< To receive one.
+    std::size_t max_header_bytes = 64UL * 1024; ///< Larger heads get 431.
+    std::size_t max_body_bytes = 1024 * 1024;   ///< Larger bodies get 413.
+    std::size_t max_connections = 1024;         ///< Further ones get 503.
+    /// Requests of one connection in progress; reading stops there.
+    std::size_t max_pipelined = 16;
+    /// To receive one request, from its first byte, without the time in which
+    /// the server itself does not read.
+    duration request_timeout = std::chrono::seconds(10);
+    /// To receive the head of a request, from its first byte, or to negotiate
+    /// TLS.
+    duration header_timeout = std::chrono::seconds(10);
+    /// Without a byte of a body that is being received.
+    duration body_stall_timeout = std::chrono::seconds(10);
+    /// Without a request; the connection is closed.
+    duration idle_timeout = std::chrono::seconds(60);
+    /// Without the client accepting a byte of a pending answer; the connection
+    /// is closed.
+    duration write_stall_timeout = std::chrono::seconds(10);
+    /// Accounts for heads and bodies of requests in progress and for answers
+    /// that are not yet written. Null: they are not accounted for.
+    std::shared_ptr<memory_budget> memory;
     std::string certificate_file; ///< PEM; plain HTTP if empty.
     std::string key_file;         ///< PEM.
 };
@@ -100,10 +125,15 @@
 {
     std::uint64_t accepted = 0;
     std::uint64_t over_connection_limit = 0;
+    std::uint64_t replaced_idle = 0; ///< Closed for a new one at the limit.
     std::size_t open = 0;
 };
 
 /// @brief Listens on an endpoint and hands each request to a handler.
+///
+/// Requests that a client pipelines are handed over as they arrive and are
+/// answered in their order. Destroying the server closes its connections
+/// without calling `on_cancel`.
 class http_server
 {
 public:
@@ -133,7 +163,8 @@
     /// @return an error and no change if the files can't be used
     result<void> reload_certificate();
 
-    /// @brief Makes every further answer carry `Connection: close`.
+    /// @brief Makes every connection close after the requests that were
+    /// handed over: the last answer carries `connection: close`.
     void close_after_responses();
 
     /// @brief Closes the listener; open connections are kept.
--- a/include/siskinflow/net/memory_budget.hpp
+++ b/include/siskinflow/net/memory_budget.hpp
@@ -130,6 +130,10 @@
         /// @return false if there is no room; the size is unchanged then
         bool grow_to(std::size_t bytes);
 
+        /// @brief Accounts for bytes that are already in memory, also if there
+        /// is no room for them. May evict as `grow_to` does.
+        void take(std::size_t bytes);
+
         /// @brief Releases the bytes above a size.
         void shrink_to(std::size_t bytes);
 
--- a/src/net/http_server_impl.hpp
+++ b/src/net/http_server_impl.hpp
@@ -1,68 +1,59 @@
 /// @file
-/// @brief State of the HTTP server and its callbacks from h2o; internal to
-/// `net`.
+/// @brief State of the HTTP server; internal to `net`.
 #pragma once
 
 #include "h2o_native.hpp"
 #include "server_certificate.hpp"
-#include "server_exchange.hpp"
+#include "server_connection.hpp"
 #include <siskinflow/net/http_server.hpp>
 
 #include <memory>
-#include <unordered_set>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace siskinflow::net
 {
 
-/// @brief A listener, its connections and the requests in progress on them.
+/// @brief A listener and its connections.
 struct http_server::impl
 {
-    /// @brief h2o's handler with a pointer to the server.
-    struct native_handler
-    {
-        h2o_handler_t super;
-        impl* server;
-    };
-
-    /// @brief Keeps an exchange alive as long as the memory pool of its
-    /// request.
-    struct pooled_exchange
-    {
-        impl* server;
-        std::shared_ptr<server_exchange> exchange;
-    };
-
-    /// @brief Fills h2o's configuration and registers the handler.
-    void configure();
+    impl(event_loop& loop, const http_server_options& options,
+         handler on_request);
+    ~impl();
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
 
     /// @brief Accepts the connections that wait at the listener.
     static void on_accept(h2o_socket_t* listener, const char* error);
-    static void on_connection_closed(void* data);
 
-    /// @brief Hands a connection to h2o, or refuses it at the limit.
+    /// @brief Serves a connection, or refuses it at the limit.
     void admit(h2o_socket_t* socket);
 
     /// @brief Closes a connection, after a 503 if it is not encrypted.
-    void refuse(h2o_socket_t* socket) const;
+    void refuse(h2o_socket_t* socket);
+
+    /// @brief Closes the connection that has been idle longest.
+    /// @return whether there is one that may be closed
+    bool close_longest_idle();
+
+    std::shared_ptr<server_connection> add(h2o_socket_t* socket, bool counted);
+    void remove(server_connection& connection);
 
-    static int on_native_request(h2o_handler_t* handler, h2o_req_t* request);
-    static void on_request_released(void* memory);
+    /// @brief Calls `check_connections` again in time.
+    void schedule_check(bool soon);
+    void check_connections();
 
-    /// @brief Ends the exchanges whose callers have disconnected.
-    void check_disconnected_callers();
+    /// @brief Time between checks that no connection asks for.
+    duration check_interval() const;
 
-    event_loop* loop = nullptr;
-    http_server_options options;
-    handler on_request;
-    h2o_globalconf_t config{};
-    h2o_context_t context{};
-    h2o_accept_ctx_t accept_context{};
+    std::shared_ptr<server_context> context;
     h2o_socket_t* listener = nullptr;
     std::vector<ssl_context> certificates; ///< Connections may use old ones.
-    http_server_stats counts;
-    std::unordered_set<server_exchange*> in_progress;
-    std::shared_ptr<void> disconnect_timer;
+    std::unordered_map<server_connection*, std::shared_ptr<server_connection>>
+        connections;
+    timer_id check_timer = 0;
+    bool check_is_soon = false;
     std::uint16_t listening_port = 0;
 };
 
--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -103,11 +103,6 @@
 {
     impl(memory_limits limits, event_loop& loop) : limits(limits), loop(loop) {}
 
-    ~impl()
-    {
-        loop.cancel(eviction_timer);
-    }
-
     bool is_small(std::size_t bytes) const
     {
         return bytes <= limits.small_hold_bytes;
@@ -278,8 +273,7 @@
 {
 }
 
-memory_budget::hold&
-memory_budget::hold::operator=(hold&& other) noexcept
+memory_budget::hold& memory_budget::hold::operator=(hold&& other) noexcept
 {
     hold released(std::move(*this));
     record_ = std::move(other.record_);
@@ -307,6 +301,17 @@
            budget->grow(entry, bytes);
 }
 
+void memory_budget::hold::take(std::size_t bytes)
+{
+    const auto entry = record_;
+    const auto budget = entry == nullptr ? nullptr : entry->budget.lock();
+    if (budget != nullptr && bytes > entry->bytes &&
+        !budget->grow(entry, bytes) && budget->records.count(entry.get()) != 0)
+    {
+        budget->set_size(*entry, bytes);
+    }
+}
+
 void memory_budget::hold::shrink_to(std::size_t bytes)
 {
     if (record_ == nullptr || bytes >= record_->bytes)
--- a/src/net/reason_phrase.cpp
+++ b/src/net/reason_phrase.cpp
@@ -35,6 +35,10 @@
         return "Gone";
     case 413:
         return "Content Too Large";
+    case 417:
+        return "Expectation Failed";
+    case 421:
+        return "Misdirected Request";
     case 428:
         return "Precondition Required";
     case 429:
--- a/src/net/server_connections.cpp
+++ b/src/net/server_connections.cpp
@@ -1,5 +1,7 @@
 #include "http_server_impl.hpp"
 
+#include <algorithm>
+
 namespace siskinflow::net
 {
 
@@ -8,12 +10,52 @@
 
 /// Limit for one readable event, so that a burst does not block the loop.
 constexpr int max_accepts_per_event = 32;
+/// Connections over the limit that may wait for their refusal to arrive.
+constexpr std::size_t max_refused_open = 32;
+/// A connection that is idle for less may have a request on its way.
+constexpr duration min_idle = std::chrono::seconds(1);
+constexpr duration soon_interval = std::chrono::milliseconds(50);
+constexpr duration max_interval = std::chrono::seconds(1);
+/// Checks within the shortest timeout: a timeout is late by this part at most.
+constexpr int checks_per_timeout = 4;
+
+constexpr std::string_view over_limit_answer =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "content-type: application/json\r\n"
+    "siskinflow-outcome: not-run\r\n"
+    "siskinflow-reason: too_many_connections\r\n"
+    "retry-after: 1\r\n"
+    "connection: close\r\n"
+    "content-length: 58\r\n\r\n"
+    "{\"outcome\":\"not-run\",\"reason\":\"too_many_connections\"}    "
+    "\n";
 
 } // namespace
 
-void http_server::impl::on_connection_closed(void* data)
+http_server::impl::impl(event_loop& loop, const http_server_options& options,
+                        handler on_request)
+    : context(std::make_shared<server_context>(loop, options,
+                                               std::move(on_request)))
+{
+    context->on_closed = [this](server_connection& connection)
+    { remove(connection); };
+    context->on_timing_changed = [this] { schedule_check(true); };
+}
+
+http_server::impl::~impl()
 {
-    --static_cast<impl*>(data)->counts.open;
+    if (listener != nullptr)
+    {
+        h2o_socket_close(listener);
+    }
+    context->loop.cancel(check_timer);
+    context->destroyed = true;
+    context->on_closed = [](server_connection&) {};
+    context->on_timing_changed = [] {};
+    for (const auto& [address, connection] : std::exchange(connections, {}))
+    {
+        connection->drop();
+    }
 }
 
 void http_server::impl::on_accept(h2o_socket_t* listener, const char* error)
@@ -32,37 +74,112 @@
 
 void http_server::impl::admit(h2o_socket_t* socket)
 {
-    if (counts.open >= options.max_connections)
+    if (context->counts.open >= context->options.max_connections &&
+        !close_longest_idle())
     {
-        ++counts.over_connection_limit;
+        ++context->counts.over_connection_limit;
         refuse(socket);
         return;
     }
-    ++counts.accepted;
-    ++counts.open;
-    socket->on_close.cb = on_connection_closed;
-    socket->on_close.data = this;
-    h2o_accept(&accept_context, socket);
+    ++context->counts.accepted;
+    ++context->counts.open;
+    add(socket, true)
+        ->start(certificates.empty() ? nullptr : certificates.back().get());
+}
+
+void http_server::impl::refuse(h2o_socket_t* socket)
+{
+    if (!certificates.empty() || context->only_closing >= max_refused_open)
+    {
+        h2o_socket_close(socket);
+        return;
+    }
+    ++context->only_closing;
+    add(socket, false)->refuse_connection(std::string(over_limit_answer));
+}
+
+bool http_server::impl::close_longest_idle()
+{
+    const time_point now = context->loop.now();
+    const auto idle_for = [now](const auto& entry)
+    { return entry.second->idle_for(now); };
+    const auto longest =
+        std::max_element(connections.begin(), connections.end(),
+                         [&](const auto& left, const auto& right)
+                         { return idle_for(left) < idle_for(right); });
+    if (longest == connections.end() || idle_for(*longest) < min_idle)
+    {
+        return false;
+    }
+    ++context->counts.replaced_idle;
+    longest->second->close_now();
+    return true;
 }
 
-void http_server::impl::refuse(h2o_socket_t* socket) const
+std::shared_ptr<server_connection> http_server::impl::add(h2o_socket_t* socket,
+                                                          bool counted)
 {
-    static constexpr std::string_view answer =
-        "HTTP/1.1 503 Service Unavailable\r\n"
-        "content-type: application/json\r\n"
-        "siskinflow-outcome: not-run\r\n"
-        "siskinflow-reason: too_many_connections\r\n"
-        "retry-after: 1\r\n"
-        "connection: close\r\n"
-        "content-length: 58\r\n\r\n"
-        "{\"outcome\":\"not-run\",\"reason\":\"too_many_connections\"}    "
-        "\n";
-    if (accept_context.ssl_ctx == nullptr)
+    auto out = std::make_shared<server_connection>(context, socket, counted);
+    connections.emplace(out.get(), out);
+    schedule_check(false);
+    return out;
+}
+
+void http_server::impl::remove(server_connection& connection)
+{
+    --(connection.counted() ? context->counts.open : context->only_closing);
+    connections.erase(&connection);
+}
+
+duration http_server::impl::check_interval() const
+{
+    const http_server_options& options = context->options;
+    const duration shortest =
+        std::min({options.header_timeout, options.body_stall_timeout,
+                  options.request_timeout, options.idle_timeout,
+                  options.write_stall_timeout});
+    return std::clamp(shortest / checks_per_timeout, soon_interval,
+                      max_interval);
+}
+
+void http_server::impl::schedule_check(bool soon)
+{
+    if (check_timer != 0 && (check_is_soon || !soon))
+    {
+        return;
+    }
+    context->loop.cancel(check_timer);
+    check_is_soon = soon;
+    check_timer = context->loop.after(soon ? soon_interval : check_interval(),
+                                      [this]
+                                      {
+                                          check_timer = 0;
+                                          check_is_soon = false;
+                                          check_connections();
+                                      });
+}
+
+void http_server::impl::check_connections()
+{
+    const time_point now = context->loop.now();
+    std::vector<std::shared_ptr<server_connection>> checked;
+    checked.reserve(connections.size());
+    for (const auto& [address, connection] : connections)
+    {
+        checked.push_back(connection);
+    }
+    // Handlers' code does not run from `check`.
+    for (const auto& connection : checked)
+    {
+        connection->check(now);
+    }
+    if (!connections.empty())
     {
-        (void)::send(h2o_socket_get_fd(socket), answer.data(), answer.size(),
-                     MSG_DONTWAIT | MSG_NOSIGNAL);
+        schedule_check(
+            std::any_of(connections.begin(), connections.end(),
+                        [](const auto& entry)
+                        { return entry.second->needs_frequent_checks(); }));
     }
-    h2o_socket_close(socket);
 }
 
 } // namespace siskinflow::net
--- a/src/net/server_exchange.hpp
+++ b/src/net/server_exchange.hpp
@@ -2,7 +2,9 @@
 /// @brief One exchange of the HTTP server; internal to `net`.
 #pragma once
 
-#include "h2o_native.hpp"
+#include "answer_writer.hpp"
+#include "output_buffer.hpp"
+#include "received_head.hpp"
 #include <siskinflow/net/http_server.hpp>
 
 #include <cstddef>
@@ -14,13 +16,16 @@
 namespace siskinflow::net
 {
 
-/// @brief A request on a connection of the server, and its answer.
-class server_exchange final
-    : public http_exchange,
-      public std::enable_shared_from_this<server_exchange>
+class server_connection;
+
+/// @brief A request on a connection of the server, and its answer. It keeps its
+/// formatted answer until the connection has written it.
+class server_exchange final : public http_exchange
 {
 public:
-    explicit server_exchange(h2o_req_t* request);
+    /// @param held accounts for the request
+    server_exchange(server_connection& connection, received_head head,
+                    std::string body, memory_budget::hold held);
 
     const http_request& request() const override
     {
@@ -37,49 +42,74 @@
     void on_cancel(std::function<void()> callback) override;
     bool done() const override;
 
-    /// @brief Called when h2o releases the request.
-    void on_native_released();
+    // For the connection
 
-    /// @brief Ends the exchange if the caller disconnected before the answer
-    /// started.
-    void check_disconnected();
+    /// @brief The part of the answer that is not yet written.
+    output_buffer& output()
+    {
+        return output_;
+    }
+    bool started() const
+    {
+        return writer_.started();
+    }
+    bool ended() const
+    {
+        return end_ != end_state::none;
+    }
+    bool aborted() const
+    {
+        return end_ == end_state::aborted;
+    }
 
-private:
-    enum class end_state
+    /// @brief Whether the connection closes after this answer, as far as is
+    /// known.
+    bool closes() const;
+
+    /// @brief Bytes of the request and the unwritten answer.
+    std::size_t bytes() const
     {
-        none,
-        complete, ///< To be sent once the queue is empty.
-        aborted,  ///< As above, as an error.
-        sent,
-    };
+        return request_.header_bytes + body_.size() + output_.bytes();
+    }
+
+    /// @brief Callback to run if the handler waits to write more, and the
+    /// answer so far is written.
+    std::function<void()> take_due_drain();
 
-    /// Passed back by h2o's callbacks; h2o's structure must be the first
-    /// member.
-    struct exchange_generator
+    /// @brief Callbacks of an exchange that has left its connection.
+    struct callbacks
     {
-        h2o_generator_t super;
-        server_exchange* exchange;
+        std::function<void()> on_drain;
+        std::function<void()> on_cancel;
     };
 
-    static void on_proceed(h2o_generator_t* generator, h2o_req_t* request);
-    static void on_stop(h2o_generator_t* generator, h2o_req_t* request);
+    /// @brief Ends the exchange and releases its memory.
+    /// @return the callbacks, whose destruction may run other code
+    callbacks detach();
+
+private:
+    enum class end_state
+    {
+        none,
+        complete,
+        aborted,
+    };
 
-    void read_request();
-    void add_response_header(const std::string& name, const std::string& value);
-    bool is_head() const;
-    void end_with(end_state kind);
-    void send_queued();
-    void on_part_sent();
-    void notify_cancelled();
+    bool accepts_output() const;
+    void format_start(int status, const http_headers& headers,
+                      std::optional<std::size_t> content_length);
+    void format_end();
 
-    h2o_req_t* native_request_;
-    exchange_generator generator_{};
+    server_connection* connection_; ///< Null: the exchange is detached.
     http_request request_;
-    bool started_ = false;
-    bool write_in_flight_ = false;
-    end_state end_state_ = end_state::none;
-    std::string sending_;
-    std::string queued_;
+    std::string body_;
+    memory_budget::hold held_;
+    output_buffer output_;
+    answer_writer writer_;
+    end_state end_ = end_state::none;
+    bool http_1_0_;
+    bool closes_; ///< By the request or the handler.
+    bool drain_due_ = false;
     std::function<void()> on_drain_;
     std::function<void()> on_cancel_;
 };
--- a/tests/unit/net_memory_budget_test.cpp
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -123,6 +123,13 @@
                 EXPECT(sending->held->bytes() == 0);
                 EXPECT(fixture.budget.held() == 6 * mb);
             });
+    section("bytes that are in memory already are accounted for",
+            [&]
+            {
+                sending->held->take(mb);
+                EXPECT(fixture.budget.held() == 7 * mb);
+                sending->held->shrink_to(0);
+            });
     fixture.time.advance(2s);
     section("the one that stalled first",
             [&]
