Follow a store that returns from an older copy

Cause: a store that returns from a copy assigns revisions again. A VM waited for revisions of the ended era, served no later change and called the store without a pause (13,000 calls a second, measured before). Change: positions (era, revision) replace bare revisions of the platform's store. kv_store drops answers of a lower era; mirrors list once in a new era; the lease keeper takes a new lease; relays and confirmations carry positions in new message types. Feeds keep evacuations for 10 s, targets and VMs for 2.3 s, and draining incarnations for good. Mirrors pace their calls.

--- a/include/siskinflow/control/message_type.hpp
+++ b/include/siskinflow/control/message_type.hpp
@@ -39,6 +39,9 @@
     store_changes = 18,
     store_confirmation = 19,
     target_leaving = 20,
+    store_position_request = 21,
+    store_position_changes = 22,
+    store_position_confirmation = 23,
 };
 
 /// @brief Name of a message type in snake_case, "unknown" if undefined.
--- a/include/siskinflow/gateway/relay_messages.hpp
+++ b/include/siskinflow/gateway/relay_messages.hpp
@@ -1,6 +1,8 @@
 /// @file
 /// @brief Messages by which a VM reads the store through another VM of its
-/// failure domain.
+/// failure domain. The messages of earlier builds, `store_changes_request`,
+/// `store_changes` and `store_confirmation`, carry revisions without their era
+/// and are not used any more.
 #pragma once
 
 #include <siskinflow/control/message_type.hpp>
@@ -17,11 +19,11 @@
 struct store_changes_request
 {
     static constexpr control::message_type type =
-        control::message_type::store_changes_request;
+        control::message_type::store_position_request;
 
     std::string prefix;
-    bool list = false;        ///< All entries, without waiting.
-    store_revision after = 0; ///< Revision that the sender knows.
+    bool list = false;    ///< All entries, without waiting.
+    store_position after; ///< Position that the sender knows.
     std::uint32_t wait_ms = 0;
 
     template <class Archive>
@@ -35,15 +37,15 @@
 struct store_changes
 {
     static constexpr control::message_type type =
-        control::message_type::store_changes;
+        control::message_type::store_position_changes;
 
-    store_revision revision = 0;
+    store_position position;
     std::vector<store_change> entries;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(revision, entries);
+        archive(position, entries);
     }
 };
 
@@ -52,12 +54,12 @@
 struct store_confirmation
 {
     static constexpr control::message_type type =
-        control::message_type::store_confirmation;
+        control::message_type::store_position_confirmation;
 
     std::string prefix;
-    store_revision last_change = 0; ///< The store had no later change then.
-    std::uint32_t age_ms = 0;       ///< Time since the confirmation.
-    bool forwarded = false;         ///< Passed on inside the receiving domain.
+    store_position last_change; ///< The store had no later change then.
+    std::uint32_t age_ms = 0;   ///< Time since the confirmation.
+    bool forwarded = false;     ///< Passed on inside the receiving domain.
 
     template <class Archive>
     void serialize(Archive& archive)
--- a/include/siskinflow/store/change_log.hpp
+++ b/include/siskinflow/store/change_log.hpp
@@ -14,37 +14,43 @@
 {
 
 /// @brief The current entries of a prefix and its latest removals, by which a
-/// reader that knows an earlier revision is brought up to date.
+/// reader that knows an earlier position is brought up to date.
 class change_log
 {
 public:
     /// @brief Records a change.
     void record(const store_change& change);
 
-    /// @brief Records that all changes up to a revision have been recorded.
-    void confirm(store_revision revision);
+    /// @brief Records that all changes up to a position have been recorded.
+    void confirm(store_position position);
 
-    /// @brief Revision up to which all changes have been recorded; 0 if there
-    /// was no listing.
-    store_revision revision() const
+    /// @brief Drops the removals of earlier eras. Readers that know an earlier
+    /// era list the prefix. The changes up to the listing of the new era
+    /// follow.
+    void begin_era();
+
+    /// @brief Position up to which all changes have been recorded; zero if
+    /// there was no listing.
+    store_position position() const
     {
-        return revision_;
+        return position_;
     }
 
     /// @brief All current entries.
     store_page listing() const;
 
-    /// @brief Changes after a revision.
-    /// @return the changes, in order of their revisions, or `errc::stale` if
-    /// removals since then have been dropped
-    result<store_page> changes_after(store_revision after) const;
+    /// @brief Changes after a position.
+    /// @return the changes, in order of their positions, or `errc::stale` if
+    /// removals since then have been dropped or the position is of an earlier
+    /// era
+    result<store_page> changes_after(store_position after) const;
 
 private:
     std::map<std::string, store_change> entries_;
-    std::multimap<store_revision, std::string> removals_;
-    store_revision first_revision_ = 0; ///< Removals since then are known.
-    store_revision revision_ = 0;
-    store_revision last_change_ = 0; ///< Latest revision of a change.
+    std::multimap<store_position, std::string> removals_;
+    store_position first_position_; ///< Removals since then are known.
+    store_position position_;
+    store_position last_change_; ///< Latest position of a change.
 };
 
 /// @brief Passes on what a mirror reports and keeps it in a log.
@@ -61,7 +67,8 @@
 
     void on_change(const store_change& change) override;
     void on_confirmed(time_point request_time,
-                      store_revision revision) override;
+                      store_position position) override;
+    void on_new_era(std::uint64_t era) override;
     void on_listed() override;
     void on_unavailable(const error& reason) override;
     void on_available(duration outage) override;
--- a/include/siskinflow/store/lease_keeper.hpp
+++ b/include/siskinflow/store/lease_keeper.hpp
@@ -14,7 +14,8 @@
 {
 
 /// @brief Writes a key under a lease and renews the lease. When the store has
-/// ended the lease, takes a new one and writes the key again.
+/// ended the lease or has returned from an older copy, takes a new one and
+/// writes the key again.
 class lease_keeper
 {
 public:
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -24,13 +24,18 @@
     /// order; versions in between may be left out.
     virtual void on_change(const store_change& change) = 0;
 
-    /// @brief All changes up to the time of a request, and up to a revision,
+    /// @brief All changes up to the time of a request, and up to a position,
     /// have been reported.
     virtual void on_confirmed(time_point /*request_time*/,
-                              store_revision /*revision*/)
+                              store_position /*position*/)
     {
     }
 
+    /// @brief The store has returned from an older copy. The listing of the new
+    /// era is reported next, until `on_listed`: keys that it lacks as removed,
+    /// all others as written. The listener decides what it keeps.
+    virtual void on_new_era(std::uint64_t /*era*/) {}
+
     /// @brief All keys of a listing have been reported.
     virtual void on_listed() = 0;
 
@@ -49,7 +54,7 @@
 /// @brief Evidence that a VM knew all changes of a prefix at some time.
 struct mirror_confirmation
 {
-    store_revision last_change = 0; ///< No later change had been made.
+    store_position last_change; ///< No later change had been made.
     time_point at{};
 };
 
@@ -67,11 +72,15 @@
     /// whose answer was lost can't be told from a quiet one. It bounds how long
     /// a change can be missed.
     duration max_unconfirmed_time = std::chrono::seconds(25);
+    /// Seeds the jitter of retries; differs between the VMs of a fleet.
+    std::uint64_t jitter_seed = 0;
 };
 
 /// @brief Lists a prefix once and then follows its changes by watches. After a
-/// failure it resumes from the last known revision; when the store has dropped
-/// that history, it lists again and reports the difference.
+/// failure it resumes from the last known position; when the store has dropped
+/// that history or has begun a new era, it lists again and reports the
+/// difference. It never goes back to a lower era. Its calls are paced: whatever
+/// the store answers, it makes at most 200 calls in a minute.
 ///
 /// A mirror that others tell of their confirmations leaves its watch waiting
 /// for long. Without them, its watches are short enough to confirm by
@@ -111,7 +120,8 @@
     void on_confirmation(std::function<void(const mirror_confirmation&)> call);
 
     /// @brief Takes over the confirmation of another VM. If it knows a later
-    /// change than this mirror, a watch that has not told it is replaced.
+    /// change than this mirror, a watch that has not told it is replaced. If it
+    /// knows a higher era, the prefix is listed; one of a lower era is ignored.
     void on_peer_confirmation(const mirror_confirmation& confirmation);
 
     /// @brief Whether the state was confirmed within `max_unconfirmed_time`.
--- a/include/siskinflow/telemetry/metric_id.hpp
+++ b/include/siskinflow/telemetry/metric_id.hpp
@@ -61,6 +61,9 @@
     withdrawn_targets,
     malformed_answer_fields,
     foreign_answers,
+    store_era,
+    store_old_era_answers,
+    store_era_listings,
 };
 
 /// @brief One row of the table, described in `docs/metrics.md`.
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include "relayed_store.hpp"
 #include "request_flow.hpp"
 #include "state_feed.hpp"
+#include "store_era_log.hpp"
 #include "store_relay.hpp"
 #include <siskinflow/core/ids.hpp>
 #include <siskinflow/entry/vm_lifecycle.hpp>
@@ -71,6 +72,7 @@
     constexpr int watches_per_limit = 3;
     mirror_options out{operator_watch_delay, relayed_watch_delay};
     out.max_unconfirmed_time = settings.policy_limit - change_fetch_time;
+    out.jitter_seed = stable_hash(settings.self.name);
     if (settings.revocation_limit)
     {
         out.max_watch_wait = std::min(
@@ -83,13 +85,15 @@
 {
     mirror_options out{target_watch_delay, relayed_watch_delay};
     out.max_unconfirmed_time = settings.drain_limit - change_fetch_time;
+    out.jitter_seed = stable_hash(settings.self.name);
     return out;
 }
 
-mirror_options vm_options()
+mirror_options vm_options(const gateway_settings& settings)
 {
     mirror_options out{vm_watch_delay, relayed_watch_delay};
     out.max_unconfirmed_time = max_unconfirmed_vms;
+    out.jitter_seed = stable_hash(settings.self.name);
     return out;
 }
 
@@ -105,6 +109,7 @@
               log_options_of(settings)),
           state(loop_in, http_client, platform_in.protocol, log, metric_set,
                 std::move(settings)),
+          eras(platform_in.store, loop_in.time(), log, metric_set),
           operators(state, platform_in.records),
           registrations(state, platform_in.records), vms(state),
           recorded_operators(operators), recorded_registrations(registrations),
@@ -118,7 +123,7 @@
                         platform_in.records.target_prefix(),
                         target_options(state.settings), recorded_registrations),
           vm_mirror(shared_reads, loop_in.timers(), loop_in.time(), vm_prefix,
-                    vm_options(), recorded_vms),
+                    vm_options(state.settings), recorded_vms),
           registration(platform_in.store, loop_in.timers(), loop_in.time(),
                        vm_prefix + state.settings.self.name,
                        to_json(state.settings.self), registration_ttl),
@@ -151,6 +156,7 @@
     metrics metric_set;
     gateway_state state;
     incarnation_id incarnation = make_incarnation_id();
+    store_era_log eras;
     operator_feed operators;
     target_feed registrations;
     vm_feed vms;
@@ -405,6 +411,7 @@
 void gateway_node::impl::on_metrics(const net::exchange_ptr& exchange)
 {
     set_withdrawn_targets();
+    eras.update_gauge();
     metric_set.counter(metric_id::log_lines_suppressed)
         .raise_to(log.suppressed() + dropped_log_lines);
     exchange->respond({200,
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -242,9 +242,12 @@
     case control::message_type::domain_state:
         decode_and_apply<domain_state>(envelope.value(), payload.size());
         break;
-    case control::message_type::store_confirmation:
+    case control::message_type::store_position_confirmation:
         decode_and_apply<store_confirmation>(envelope.value(), payload.size());
         break;
+    case control::message_type::store_confirmation:
+        // Of an earlier build; its revision may be of any era.
+        break;
     case control::message_type::target_leaving:
         decode_and_apply<target_leaving>(envelope.value(), payload.size());
         break;
--- a/src/gateway/relayed_store.cpp
+++ b/src/gateway/relayed_store.cpp
@@ -53,7 +53,7 @@
         return message.error();
     }
     return store_page{std::move(message.value().entries),
-                      message.value().revision, true};
+                      message.value().position, true};
 }
 
 } // namespace
@@ -73,7 +73,8 @@
     incarnation_id self;
     relay_choice choose;
     std::map<net::endpoint, time_point> paused_until;
-    std::map<std::string, store_revision> known_revisions; ///< By prefix.
+    std::map<std::string, store_position> known_positions; ///< By prefix.
+    std::uint64_t expected_era = 0; ///< Known to another VM.
     std::map<std::uint64_t, std::shared_ptr<net::http_call>> pending_calls;
     std::uint64_t last_call_id = 0;
 
@@ -123,8 +124,13 @@
     /// this VM knows.
     bool usable(const result<store_page>& page, const std::string& prefix)
     {
-        return page ? page.value().revision >= known_revisions[prefix]
-                    : page.error().code == errc::stale;
+        if (!page)
+        {
+            return page.error().code == errc::stale;
+        }
+        const store_position& position = page.value().position;
+        return position >= known_positions[prefix] &&
+               position.era >= std::max(expected_era, direct.era());
     }
 
     void pause(const net::endpoint& relay)
@@ -133,7 +139,7 @@
         caller.close_idle_connections(relay);
     }
 
-    callback<store_page> noting_revision(const std::string& prefix,
+    callback<store_page> noting_position(const std::string& prefix,
                                          callback<store_page> done)
     {
         return [self = shared_from_this(), prefix,
@@ -141,8 +147,8 @@
         {
             if (page)
             {
-                store_revision& known = self->known_revisions[prefix];
-                known = std::max(known, page.value().revision);
+                store_position& known = self->known_positions[prefix];
+                known = std::max(known, page.value().position);
             }
             done(std::move(page));
         };
@@ -153,7 +159,7 @@
               std::function<void(callback<store_page>)> ask_store,
               callback<store_page> done)
     {
-        done = noting_revision(message.prefix, std::move(done));
+        done = noting_position(message.prefix, std::move(done));
         const auto relay = usable_relay();
         if (!relay)
         {
@@ -192,7 +198,7 @@
 void relayed_store::list(std::string prefix, duration timeout,
                          callback<store_page> done)
 {
-    const store_changes_request message{prefix, true, 0, 0};
+    const store_changes_request message{prefix, true, {}, 0};
     impl_->read(
         message,
         [&direct = impl_->direct, prefix, timeout](callback<store_page> on_page)
@@ -200,7 +206,7 @@
         std::move(done));
 }
 
-void relayed_store::await_changes(std::string prefix, store_revision after,
+void relayed_store::await_changes(std::string prefix, store_position after,
                                   duration wait, callback<store_page> done)
 {
     const auto wait_ms = static_cast<std::uint32_t>(
@@ -216,4 +222,24 @@
         std::move(done));
 }
 
+std::uint64_t relayed_store::era() const
+{
+    return impl_->direct.era();
+}
+
+void relayed_store::on_new_era(std::function<void(std::uint64_t)> callback)
+{
+    impl_->direct.on_new_era(std::move(callback));
+}
+
+void relayed_store::expect_era(std::uint64_t era)
+{
+    impl_->expected_era = std::max(impl_->expected_era, era);
+}
+
+std::uint64_t relayed_store::list_calls(const std::string& prefix) const
+{
+    return impl_->direct.list_calls(prefix);
+}
+
 } // namespace siskinflow::gateway
--- a/src/gateway/relayed_store.hpp
+++ b/src/gateway/relayed_store.hpp
@@ -21,8 +21,9 @@
 /// @brief Reads from a relay while there is one and from the store itself
 /// otherwise.
 ///
-/// A relay that fails, refuses or knows less than this VM is not asked again
-/// for some seconds, and the store is asked in its place at once.
+/// A relay that fails, refuses or knows less than this VM, also of a lower era,
+/// is not asked again for some seconds, and the store is asked in its place at
+/// once.
 class relayed_store final : public prefix_reader
 {
 public:
@@ -39,8 +40,12 @@
 
     void list(std::string prefix, duration timeout,
               callback<store_page> done) override;
-    void await_changes(std::string prefix, store_revision after, duration wait,
+    void await_changes(std::string prefix, store_position after, duration wait,
                        callback<store_page> done) override;
+    std::uint64_t era() const override;
+    void on_new_era(std::function<void(std::uint64_t)> callback) override;
+    void expect_era(std::uint64_t era) override;
+    std::uint64_t list_calls(const std::string& prefix) const override;
 
 private:
     struct impl;
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -6,9 +6,15 @@
 namespace
 {
 
-/// Time after an outage of the store within which running targets register
-/// again; targets whose entries are still missing then are removed.
+/// Time after an outage or a return of the store within which running targets
+/// and VMs register again; those whose entries are still missing then are
+/// removed.
 constexpr duration reregistration_time = std::chrono::milliseconds(2300);
+/// Time after a return of the store within which operators write their entries
+/// again; an evacuation that is still missing then ends.
+constexpr duration rewriting_time = std::chrono::seconds(10);
+/// Targets that are remembered as draining.
+constexpr std::size_t max_draining = 10000;
 
 } // namespace
 
@@ -42,10 +48,18 @@
           "not confirmed for " + std::to_string(to_ms(unconfirmed)) + " ms"}});
 }
 
+void logging_listener::on_new_era(std::uint64_t era)
+{
+    state_.metric_set.counter(metric_id::store_era_listings).add();
+    state_.log.write(event_id::store_era_listed,
+                     {{"listed", operation_}, {"era", era}});
+}
+
 // Operators
 
 operator_feed::operator_feed(gateway_state& state, const record_format& records)
-    : logging_listener(state, "operators"), records_(records)
+    : logging_listener(state, "operators"), records_(records),
+      pending_ends_(state.loop)
 {
 }
 
@@ -57,27 +71,39 @@
         const policy_version in_force =
             state_.policy == nullptr ? 0 : state_.policy->document().version;
         state_.log.write(event_id::policy_refused,
-                         {{"revision", change.revision},
+                         {{"revision", change.position.revision},
                           {"in_force", in_force},
                           {"reason", record.error().message}});
         return;
     }
     if (auto* next = std::get_if<policy_document>(&record.value()))
     {
-        on_policy(std::move(*next), change.revision);
+        on_policy(std::move(*next), change.position.revision);
     }
     if (const auto* evacuated = std::get_if<evacuation>(&record.value()))
     {
-        on_evacuation(*evacuated, change.revision);
+        on_evacuation(*evacuated, change.position.revision);
     }
 }
 
 void operator_feed::on_confirmed(time_point asked_at,
-                                 store_revision /*revision*/)
+                                 store_position /*position*/)
 {
     state_.policy_confirmed = asked_at;
 }
 
+void operator_feed::on_new_era(std::uint64_t era)
+{
+    listing_new_era_ = true;
+    pending_ends_.postpone_all(rewriting_time);
+    logging_listener::on_new_era(era);
+}
+
+void operator_feed::on_listed()
+{
+    listing_new_era_ = false;
+}
+
 void operator_feed::on_policy(policy_document next, store_revision revision)
 {
     keep_rows_in_force(
@@ -111,13 +137,26 @@
 void operator_feed::on_evacuation(const evacuation& change,
                                   store_revision revision)
 {
-    if (change.active)
+    if (!change.active && listing_new_era_)
     {
-        evacuated_.insert(change.failure_domain);
+        pending_ends_.set(change.failure_domain, rewriting_time,
+                          [this, change, revision]
+                          { set_evacuated(change, revision); });
+        return;
     }
-    else
+    pending_ends_.cancel(change.failure_domain);
+    set_evacuated(change, revision);
+}
+
+void operator_feed::set_evacuated(const evacuation& change,
+                                  store_revision revision)
+{
+    const bool changed = change.active
+                             ? evacuated_.insert(change.failure_domain).second
+                             : evacuated_.erase(change.failure_domain) != 0;
+    if (!changed)
     {
-        evacuated_.erase(change.failure_domain);
+        return; // The listing of a new era repeats what is in force.
     }
     state_.targets.set_evacuated(evacuated_);
     std::string domain_list;
@@ -134,7 +173,8 @@
 // Targets
 
 target_feed::target_feed(gateway_state& state, const record_format& records)
-    : logging_listener(state, "targets"), records_(records)
+    : logging_listener(state, "targets"), records_(records),
+      pending_removals_(state.loop)
 {
 }
 
@@ -144,9 +184,18 @@
     logging_listener::on_available(down);
 }
 
+void target_feed::on_new_era(std::uint64_t era)
+{
+    listing_new_era_ = true;
+    reregistered_by_ = state_.now() + reregistration_time;
+    pending_removals_.postpone_all(reregistration_time);
+    logging_listener::on_new_era(era);
+}
+
 void target_feed::on_listed()
 {
     listed_ = true;
+    listing_new_era_ = false;
     state_.place_all_waiting();
 }
 
@@ -154,7 +203,7 @@
 {
     if (change.removed)
     {
-        on_removed(records_.target_id(change.key), change.revision);
+        on_removed(records_.target_id(change.key), change.position.revision);
         return;
     }
     on_registered(change);
@@ -167,7 +216,7 @@
     {
         state_.log.write(event_id::target_registration_refused,
                          {{"item", change.key},
-                          {"revision", change.revision},
+                          {"revision", change.position.revision},
                           {"reason", record.error().message}});
         return;
     }
@@ -177,13 +226,18 @@
     {
         entry.region = region->second;
     }
-    const auto pending_removal = pending_removals_.find(entry.id);
-    if (pending_removal != pending_removals_.end())
+    if (listing_new_era_ && is_earlier_incarnation(entry))
     {
-        state_.loop.cancel(pending_removal->second);
-        pending_removals_.erase(pending_removal);
+        on_removed(entry.id, change.position.revision);
+        return;
     }
+    pending_removals_.cancel(entry.id);
+    keep_withdrawn(entry);
     const target_ptr known = state_.targets.find(entry.id);
+    if (listing_new_era_ && known != nullptr && known->record() == entry)
+    {
+        return; // It would warm up again.
+    }
     const bool was_draining = known != nullptr && known->record().draining;
     const bool added = state_.targets.put(entry, state_.now());
     if (added || was_draining != entry.draining)
@@ -197,7 +251,7 @@
                         : known        ? "restarted"
                                        : "registered"},
              {"failure_domain", entry.failure_domain},
-             {"revision", change.revision},
+             {"revision", change.position.revision},
              {"warm_up_ms",
               std::chrono::duration_cast<std::chrono::milliseconds>(
                   entry.warm_up_left)
@@ -217,6 +271,38 @@
     }
 }
 
+/// Whether the entry is of an incarnation before the known one: the store has
+/// returned from a copy that does not have the later one. A target that runs
+/// writes its entry again.
+bool target_feed::is_earlier_incarnation(const target_record& entry) const
+{
+    const target_ptr known = state_.targets.find(entry.id);
+    return known != nullptr &&
+           entry.started_at_ms < known->record().started_at_ms;
+}
+
+/// An incarnation that has announced its end does not come back: an entry that
+/// says otherwise is older, such as one from a copy of the store.
+void target_feed::keep_withdrawn(target_record& entry)
+{
+    if (entry.started_at_ms == 0)
+    {
+        return; // Its incarnation is not known.
+    }
+    if (entry.draining)
+    {
+        if (draining_.size() >= max_draining)
+        {
+            draining_.clear();
+        }
+        draining_[entry.id] = entry.started_at_ms;
+        return;
+    }
+    const auto found = draining_.find(entry.id);
+    entry.draining =
+        found != draining_.end() && found->second == entry.started_at_ms;
+}
+
 void target_feed::on_removed(const std::string& id, store_revision revision)
 {
     const time_point now = state_.now();
@@ -225,16 +311,8 @@
         remove(id, revision);
         return;
     }
-    if (pending_removals_.count(id) != 0)
-    {
-        return;
-    }
-    pending_removals_[id] = state_.loop.after(reregistered_by_ - now,
-                                              [this, id, revision]
-                                              {
-                                                  pending_removals_.erase(id);
-                                                  remove(id, revision);
-                                              });
+    pending_removals_.set(id, reregistered_by_ - now,
+                          [this, id, revision] { remove(id, revision); });
 }
 
 void target_feed::remove(const std::string& id, store_revision revision)
@@ -255,7 +333,10 @@
 
 // VMs
 
-vm_feed::vm_feed(gateway_state& state) : logging_listener(state, "vms") {}
+vm_feed::vm_feed(gateway_state& state)
+    : logging_listener(state, "vms"), pending_removals_(state.loop)
+{
+}
 
 void vm_feed::on_change(const store_change& change)
 {
@@ -265,11 +346,10 @@
     {
         return;
     }
+    pending_removals_.cancel(name);
     if (change.removed)
     {
-        state_.peers.on_unlisted(name);
-        state_.log.write(event_id::peer_changed,
-                         {{"peer", name}, {"change", "unlisted"}});
+        on_removed(name);
         return;
     }
     const auto record = parse_vm_record(change.value);
@@ -278,7 +358,7 @@
         state_.log.write(
             event_id::target_registration_refused,
             {{"item", change.key},
-             {"revision", change.revision},
+             {"revision", change.position.revision},
              {"reason",
               record ? std::string("the name in the entry differs from its key")
                      : record.error().message}});
@@ -292,4 +372,30 @@
     state_.update_shares();
 }
 
+void vm_feed::on_new_era(std::uint64_t era)
+{
+    reregistered_by_ = state_.now() + reregistration_time;
+    pending_removals_.postpone_all(reregistration_time);
+    logging_listener::on_new_era(era);
+}
+
+void vm_feed::on_removed(const std::string& name)
+{
+    const time_point now = state_.now();
+    if (now >= reregistered_by_)
+    {
+        unlist(name);
+        return;
+    }
+    pending_removals_.set(name, reregistered_by_ - now,
+                          [this, name] { unlist(name); });
+}
+
+void vm_feed::unlist(const std::string& name)
+{
+    state_.peers.on_unlisted(name);
+    state_.log.write(event_id::peer_changed,
+                     {{"peer", name}, {"change", "unlisted"}});
+}
+
 } // namespace siskinflow::gateway
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -73,6 +73,13 @@
         refuse(exchange, status_bad_request);
         return;
     }
+    if (envelope.value().type == control::message_type::store_changes_request)
+    {
+        // A VM of an earlier build, which knows no eras, reads the store
+        // itself.
+        refuse(exchange, status_unavailable);
+        return;
+    }
     auto message =
         control::decode_payload<store_changes_request>(envelope.value());
     if (!message || prefixes_.count(message.value().prefix) == 0)
@@ -93,7 +100,7 @@
 {
     relayed_prefix& entry = prefixes_.at(message.prefix);
     const change_log& log = *entry.log;
-    if (log.revision() == 0 || !current_())
+    if (log.position() == store_position() || !current_())
     {
         refuse(exchange, status_unavailable);
         return true;
@@ -103,9 +110,16 @@
         respond(exchange, log.listing());
         return true;
     }
+    if (message.after.era > log.position().era)
+    {
+        // The store has begun an era that this VM does not know yet.
+        catch_up(entry);
+        refuse(exchange, status_unavailable);
+        return true;
+    }
     const auto page = log.changes_after(message.after);
     // A page of an earlier revision would take the reader back.
-    const bool behind = page && page.value().revision < message.after;
+    const bool behind = page && page.value().position < message.after;
     const bool nothing_new = page && (page.value().entries.empty() || behind);
     if (behind)
     {
@@ -146,7 +160,7 @@
     exchange->respond(
         {status_ok,
          {{"content-type", "application/octet-stream"}},
-         control::encode(self_, store_changes{page.value().revision,
+         control::encode(self_, store_changes{page.value().position,
                                               page.value().entries})});
 }
 
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -31,6 +31,9 @@
 constexpr std::string_view store_down_fields[] = {"operation", "reason"};
 constexpr std::string_view store_up_fields[] = {"down_ms"};
 constexpr std::string_view watch_fields[] = {"watched", "reason"};
+constexpr std::string_view era_begun_fields[] = {"era"};
+constexpr std::string_view old_answer_fields[] = {"era", "known"};
+constexpr std::string_view era_listed_fields[] = {"listed", "era"};
 constexpr std::string_view ejected_fields[] = {"target", "route", "reason"};
 constexpr std::string_view probed_fields[] = {"target", "outcome"};
 constexpr std::string_view restored_fields[] = {"target", "ejected_ms"};
@@ -113,6 +116,12 @@
     {event_id::store_available, "store_available", log_level::info,
      store_up_fields},
     {event_id::watch_broken, "watch_broken", log_level::warning, watch_fields},
+    {event_id::store_era_begun, "store_era_begun", log_level::warning,
+     era_begun_fields},
+    {event_id::store_old_answer, "store_old_answer", log_level::warning,
+     old_answer_fields},
+    {event_id::store_era_listed, "store_era_listed", log_level::info,
+     era_listed_fields},
     {event_id::target_ejected, "target_ejected", log_level::warning,
      ejected_fields},
     {event_id::target_probed, "target_probed", log_level::info, probed_fields},
--- a/src/telemetry/metric_id.cpp
+++ b/src/telemetry/metric_id.cpp
@@ -118,6 +118,14 @@
     {foreign_answers, "siskinflow_foreign_answers_total", counter, "answers",
      no_labels,
      "Answers of targets that belonged to no request or to another one."},
+    {store_era, "siskinflow_store_era", gauge, "era", no_labels,
+     "Highest era that an answer of the store has shown."},
+    {store_old_era_answers, "siskinflow_store_old_era_answers_total", counter,
+     "answers", no_labels,
+     "Answers of the store dropped because their era has ended."},
+    {store_era_listings, "siskinflow_store_era_listings_total", counter,
+     "listings", no_labels,
+     "Listings of a prefix because the store has begun a new era."},
 };
 
 } // namespace
