--- a/include/siskinflow/telemetry/metric_id.hpp
+++ b/include/siskinflow/telemetry/metric_id.hpp
@@ -65,6 +65,9 @@
     memory_limit,
     memory_evictions,
     memory_waits,
+    store_era,
+    store_old_era_answers,
+    store_era_listings,
 };
 
 /// @brief One row of the table, described in `docs/metrics.md`.
