Let the kernel take all unsent output once a server stops

The limit of unsent bytes in the kernel made gateway_stop/ answers_are_sent_to_their_end fail: three callers that read 16 MB at 2.5 MB/s had not received their answers when the grace time ended, because the kernel kept 128 KB instead of some megabytes. close_after_responses lifts the limit.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -92,6 +92,15 @@
 void http_server::close_after_responses()
 {
     impl_->context->closing = true;
+    // What the kernel has taken arrives also if the process ends first.
+    if (impl_->listener != nullptr)
+    {
+        lift_unsent_limit(h2o_socket_get_fd(impl_->listener));
+    }
+    for (const auto& [address, connection] : impl_->connections)
+    {
+        connection->lift_unsent_limit();
+    }
 }
 
 void http_server::stop_accepting()
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -72,6 +72,12 @@
     /// while the connection is not read.
     void check(time_point now);
 
+    /// @brief Lets the kernel take as much unsent output as it wants.
+    void lift_unsent_limit()
+    {
+        socket_.lift_unsent_limit();
+    }
+
     /// @brief Whether `check` is to be called soon rather than now and then.
     bool needs_frequent_checks() const;
 
--- a/src/net/server_socket.cpp
+++ b/src/net/server_socket.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+void lift_unsent_limit(int descriptor)
+{
+    constexpr int no_limit = 0; // Selects the system's default.
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &no_limit,
+                 sizeof(no_limit));
+}
+
 server_socket::server_socket(h2o_socket_t* socket, socket_events& events)
     : socket_(socket), events_(events)
 {
@@ -228,6 +235,14 @@
     self.events_.on_written(bytes);
 }
 
+void server_socket::lift_unsent_limit()
+{
+    if (socket_ != nullptr)
+    {
+        net::lift_unsent_limit(h2o_socket_get_fd(socket_));
+    }
+}
+
 void server_socket::end_sending()
 {
     if (socket_ != nullptr)
--- a/src/net/server_socket.hpp
+++ b/src/net/server_socket.hpp
@@ -32,6 +32,9 @@
     virtual void on_written(std::size_t bytes) = 0;
 };
 
+/// @brief Lets the kernel take as much unsent output as it wants.
+void lift_unsent_limit(int descriptor);
+
 /// @brief Reads in bounded steps and writes with partial progress. h2o's own
 /// reading takes all that the kernel has, and its writing reports only the end.
 class server_socket
@@ -76,6 +79,9 @@
     /// @brief Reports with `on_written` when the socket takes more bytes.
     void wait_writable();
 
+    /// @brief Lets the kernel take as much unsent output as it wants.
+    void lift_unsent_limit();
+
     /// @brief Ends the sending side; what was written still arrives.
     void end_sending();
 
