--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -82,7 +82,7 @@
     /// before; it runs before the callback of the call that was answered. The
     /// first answer shows no new era.
     virtual void
-    on_new_era(std::function<void(std::uint64_t /*era*/)> /*callback*/)
+    on_new_era(const std::function<void(std::uint64_t)>& /*callback*/)
     {
     }
 
@@ -106,7 +106,7 @@
     /// @brief Adds a callback for answers that are dropped because their era is
     /// lower than the highest known.
     virtual void
-    on_old_era(std::function<void(std::uint64_t /*era*/)> /*callback*/)
+    on_old_era(const std::function<void(std::uint64_t)>& /*callback*/)
     {
     }
 
--- a/src/gateway/relayed_store.cpp
+++ b/src/gateway/relayed_store.cpp
@@ -227,9 +227,10 @@
     return impl_->direct.era();
 }
 
-void relayed_store::on_new_era(std::function<void(std::uint64_t)> callback)
+void relayed_store::on_new_era(
+    const std::function<void(std::uint64_t)>& callback)
 {
-    impl_->direct.on_new_era(std::move(callback));
+    impl_->direct.on_new_era(callback);
 }
 
 void relayed_store::expect_era(std::uint64_t era)
--- a/src/gateway/relayed_store.hpp
+++ b/src/gateway/relayed_store.hpp
@@ -43,7 +43,8 @@
     void await_changes(std::string prefix, store_position after, duration wait,
                        callback<store_page> done) override;
     std::uint64_t era() const override;
-    void on_new_era(std::function<void(std::uint64_t)> callback) override;
+    void
+    on_new_era(const std::function<void(std::uint64_t)>& callback) override;
     void expect_era(std::uint64_t era) override;
     std::uint64_t list_calls(const std::string& prefix) const override;
 
--- a/tests/unit/store_eras_test.cpp
+++ b/tests/unit/store_eras_test.cpp
@@ -83,9 +83,9 @@
     {
         return current_era;
     }
-    void on_new_era(std::function<void(std::uint64_t)> callback) override
+    void on_new_era(const std::function<void(std::uint64_t)>& callback) override
     {
-        callbacks.push_back(std::move(callback));
+        callbacks.push_back(callback);
     }
     void expect_era(std::uint64_t era) override
     {
