Add siskinflowctl explain

Change: the metrics listener answers /explain with route, organisation, quota, chosen target, what excludes the others, and what the queue would answer; the command shows it as text or JSON. It evaluates the code that handles requests: target_chooser::explain uses the same evaluation as choose, and the wait decision, the region rule, the object hash and the region split became functions that both use. The organisation is given by name, so that no key is in a URL. target_order expects 16 instead of 20 targets below its first bound.

--- a/include/siskinflow/gateway/policy.hpp
+++ b/include/siskinflow/gateway/policy.hpp
@@ -83,6 +83,15 @@
     caller_limits limits;
 };
 
+/// @brief Whether a request may run in a region.
+/// @param organisation null on open routes
+bool region_allowed(const route_policy& route,
+                    const organisation_policy* organisation,
+                    std::string_view region);
+
+/// @brief Hash of an object of a service, the same on every VM.
+std::uint64_t object_hash(std::string_view object, std::string_view service);
+
 /// @brief Finds routes, services and organisations of one policy.
 class policy_index
 {
--- a/include/siskinflow/gateway/rate_share.hpp
+++ b/include/siskinflow/gateway/rate_share.hpp
@@ -72,6 +72,13 @@
     /// @return whether it was admitted
     bool admit(time_point now);
 
+    /// @brief Whether `admit` would admit a request now.
+    bool would_admit(time_point now) const;
+
+    /// @brief Requests that the shared bucket has room for, as far as this VM
+    /// knows; not less than 0.
+    double left(time_point now) const;
+
     /// @brief Time until a request can be admitted.
     duration wait_time(time_point now) const;
 
--- a/include/siskinflow/gateway/region_split.hpp
+++ b/include/siskinflow/gateway/region_split.hpp
@@ -42,6 +42,9 @@
     /// evenly
     bool use_other_region(std::optional<std::uint64_t> object);
 
+    /// @brief Whether requests for an object go to another region.
+    bool selects(std::uint64_t object) const;
+
     /// @brief Fraction of requests that go to other regions, from 0 to 1.
     double other_region_fraction() const
     {
--- a/include/siskinflow/gateway/target_chooser.hpp
+++ b/include/siskinflow/gateway/target_chooser.hpp
@@ -56,6 +56,8 @@
     choice_failure failure = choice_failure::no_target;
 };
 
+struct choice_explanation;
+
 /// @brief Chooses targets for the requests of one VM.
 ///
 /// Every VM of a region orders the targets of an object by the same hash, so
@@ -76,6 +78,11 @@
     /// rest is used only if no preferred target admits requests.
     choice_outcome choose(const choice_request& request, time_point now);
 
+    /// @brief Tells what `choose` would decide now, and what excludes the other
+    /// targets of the service. Changes nothing.
+    choice_explanation explain(const choice_request& request,
+                               time_point now) const;
+
     /// @brief When the first of the targets that a request may use wants
     /// requests again, those already tried included.
     /// @return nothing if one of them wants requests now, or if there is none
--- a/include/siskinflow/operator/commands.hpp
+++ b/include/siskinflow/operator/commands.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <iosfwd>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,11 @@
     duration max_wait = std::chrono::seconds(30);
     duration call_timeout = std::chrono::seconds(2);
     duration poll_interval = std::chrono::milliseconds(200);
+    /// Metrics listener of a gateway, for `explain`.
+    std::optional<net::endpoint> gateway = std::nullopt;
+    /// Organisation and object of the request that `explain` asks about.
+    std::string organisation = {};
+    std::string object = {};
 };
 
 /// @brief Runs one command.
--- a/programs/siskinflowctl.cpp
+++ b/programs/siskinflowctl.cpp
@@ -10,6 +10,7 @@
 
 #include <iostream>
 #include <memory>
+#include <optional>
 
 DEFINE_string(store, "", "Endpoints of the store, with commas between them");
 DEFINE_string(entry, "",
@@ -19,6 +20,11 @@
 DEFINE_double(wait, 30, "Longest wait of apply and drain, in seconds (0-3600)");
 DEFINE_uint32(call_timeout_ms, 2000,
               "Deadline of each call, in milliseconds (1-60000)");
+DEFINE_string(gateway, "",
+              "Address and port of the metrics of a gateway, for explain");
+DEFINE_string(organisation, "",
+              "Organisation of the request, for explain; empty: no key");
+DEFINE_string(object, "", "Object of the request, for explain; empty: none");
 
 namespace
 {
@@ -30,8 +36,9 @@
 
 const std::vector<std::string>& flag_names()
 {
-    static const std::vector<std::string> names = {"store", "entry", "output",
-                                                   "wait", "call_timeout_ms"};
+    static const std::vector<std::string> names = {
+        "store",           "entry",   "output",       "wait",
+        "call_timeout_ms", "gateway", "organisation", "object"};
     return names;
 }
 
@@ -75,6 +82,7 @@
 
 int run(const std::vector<net::endpoint>& store_endpoints,
         const std::vector<net::endpoint>& entry_endpoints,
+        const std::optional<net::endpoint>& gateway,
         const std::vector<std::string>& words)
 {
     const boot_clock time;
@@ -102,7 +110,10 @@
         .json = FLAGS_output == "json",
         .max_wait = std::chrono::milliseconds(
             static_cast<std::int64_t>(FLAGS_wait * 1000)),
-        .call_timeout = std::chrono::milliseconds(FLAGS_call_timeout_ms)};
+        .call_timeout = std::chrono::milliseconds(FLAGS_call_timeout_ms),
+        .gateway = gateway,
+        .organisation = FLAGS_organisation,
+        .object = FLAGS_object};
     std::optional<exit_code> code;
     loop.post(
         [&]
@@ -147,6 +158,16 @@
     {
         return usage_error("--entry: " + entry_endpoints.error().message);
     }
-    return run(store_endpoints.value(), entry_endpoints.value(),
+    std::optional<net::endpoint> gateway;
+    if (!FLAGS_gateway.empty())
+    {
+        const auto parsed = net::parse_endpoint(FLAGS_gateway);
+        if (!parsed)
+        {
+            return usage_error("--gateway: " + parsed.error().message);
+        }
+        gateway = parsed.value();
+    }
+    return run(store_endpoints.value(), entry_endpoints.value(), gateway,
                command_line.value().positional_arguments);
 }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,6 +1,7 @@
 #include "gateway_state.hpp"
 #include "peer_exchange.hpp"
 #include "relayed_store.hpp"
+#include "request_explanation.hpp"
 #include "request_flow.hpp"
 #include "state_feed.hpp"
 #include "store_relay.hpp"
@@ -404,6 +405,13 @@
 
 void gateway_node::impl::on_metrics(const net::exchange_ptr& exchange)
 {
+    const net::http_request& request = exchange->request();
+    if (request.path == explanation_path)
+    {
+        exchange->respond(
+            explain_request(state, read_explained_request(request.query)));
+        return;
+    }
     set_withdrawn_targets();
     metric_set.counter(metric_id::log_lines_suppressed)
         .raise_to(log.suppressed() + dropped_log_lines);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -26,6 +26,19 @@
 /// Failed placements after which a pass over the waiting requests ends.
 constexpr int max_failed_placements = 6;
 
+template <class Map>
+const typename Map::mapped_type* find_in(const Map& map,
+                                         const std::string& name)
+{
+    const auto found = map.find(name);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+std::string work_name(const route_policy& route, const std::string& service)
+{
+    return route.name + '\n' + service;
+}
+
 placement_costs costs_of(const gateway_settings& settings)
 {
     placement_costs out;
@@ -52,11 +65,27 @@
 work_estimate& gateway_state::work(const route_policy& route,
                                    const std::string& service)
 {
-    const std::string name = route.name + '\n' + service;
-    return work_.try_emplace(name, route.objective, route.timeout)
+    return work_
+        .try_emplace(work_name(route, service), route.objective, route.timeout)
         .first->second;
 }
 
+const work_estimate* gateway_state::find_work(const route_policy& route,
+                                              const std::string& service) const
+{
+    return find_in(work_, work_name(route, service));
+}
+
+const region_split* gateway_state::find_split(const std::string& service) const
+{
+    return find_in(splits_, service);
+}
+
+const wait_queue* gateway_state::find_queue(const std::string& service) const
+{
+    return find_in(wait_queues_, service);
+}
+
 retry_budget& gateway_state::retries(const std::string& service)
 {
     const auto found = retries_.find(service);
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -134,6 +134,13 @@
     /// @brief Decides which requests of a service go to other regions.
     region_split& split(const std::string& service);
 
+    /// @brief As `work`, `split` and `queue_of`; null if there was no request
+    /// yet.
+    const work_estimate* find_work(const route_policy& route,
+                                   const std::string& service) const;
+    const region_split* find_split(const std::string& service) const;
+    const wait_queue* find_queue(const std::string& service) const;
+
     /// @brief Adjusts the region splits to the current load.
     void update_splits();
 
--- a/src/gateway/policy.cpp
+++ b/src/gateway/policy.cpp
@@ -1,3 +1,4 @@
+#include <siskinflow/core/ids.hpp>
 #include <siskinflow/gateway/policy.hpp>
 
 #include <algorithm>
@@ -27,6 +28,24 @@
 
 } // namespace
 
+bool region_allowed(const route_policy& route,
+                    const organisation_policy* organisation,
+                    std::string_view region)
+{
+    const auto allows = [region](const std::vector<std::string>& regions)
+    {
+        return regions.empty() || std::find(regions.begin(), regions.end(),
+                                            region) != regions.end();
+    };
+    return allows(route.allowed_regions) &&
+           (organisation == nullptr || allows(organisation->allowed_regions));
+}
+
+std::uint64_t object_hash(std::string_view object, std::string_view service)
+{
+    return stable_hash(object, stable_hash(service));
+}
+
 std::size_t
 policy_index::digest_hash::operator()(const key_digest& digest) const noexcept
 {
--- a/src/gateway/rate_share.cpp
+++ b/src/gateway/rate_share.cpp
@@ -69,6 +69,16 @@
     return fleet_bucket_.level(now) - unreported_requests(now);
 }
 
+bool rate_share::would_admit(time_point now) const
+{
+    return above_reserve(now) || wait_time(now) <= duration::zero();
+}
+
+double rate_share::left(time_point now) const
+{
+    return std::max(0.0, available(now));
+}
+
 duration rate_share::wait_time(time_point now) const
 {
     return paced_bucket_.time_until_available(1, now);
--- a/src/gateway/region_split.cpp
+++ b/src/gateway/region_split.cpp
@@ -69,13 +69,18 @@
                                         load.remote_slots > 0 ? 1.0 : 0.0);
 }
 
+bool region_split::selects(std::uint64_t object) const
+{
+    constexpr std::uint64_t hash_buckets = 10000;
+    return static_cast<double>(object % hash_buckets) <
+           other_region_fraction_ * hash_buckets;
+}
+
 bool region_split::use_other_region(std::optional<std::uint64_t> object)
 {
     if (object)
     {
-        constexpr std::uint64_t hash_buckets = 10000;
-        return static_cast<double>(*object % hash_buckets) <
-               other_region_fraction_ * hash_buckets;
+        return selects(*object);
     }
     fractional_requests_ += other_region_fraction_;
     const bool use_other = fractional_requests_ >= 1;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,6 +1,6 @@
 #include "request_flow.hpp"
 
-#include <siskinflow/core/ids.hpp>
+#include <siskinflow/gateway/wait_decision.hpp>
 
 #include <algorithm>
 
@@ -12,17 +12,10 @@
 
 /// Upper limit of a request's time; its route or caller may set a shorter one.
 constexpr duration max_request_time = std::chrono::seconds(60);
-/// The longest wait for room is the route's objective divided by this.
-constexpr int wait_divisor = 2;
 constexpr duration no_policy_retry_after = std::chrono::milliseconds(500);
 /// Another VM can take the request at once.
 constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
 
-bool contains(const std::vector<std::string>& list, std::string_view value)
-{
-    return std::find(list.begin(), list.end(), value) != list.end();
-}
-
 } // namespace
 
 request_flow::request_flow(gateway_state& state, net::exchange_ptr exchange)
@@ -118,7 +111,7 @@
     service_ = state_.next_service(*route_);
     if (route_->affinity && !caller_fields_.object.empty())
     {
-        object_ = stable_hash(caller_fields_.object, stable_hash(service_));
+        object_ = object_hash(caller_fields_.object, service_);
     }
     return within_rate() ? std::nullopt
                          : std::optional(refusal_reason::rate_exceeded);
@@ -177,24 +170,13 @@
     return {arrived_ + route_->objective - now, deadline_ - now};
 }
 
-bool request_flow::region_allowed(std::string_view region) const
-{
-    const auto& route_regions = route_->allowed_regions;
-    if (!route_regions.empty() && !contains(route_regions, region))
-    {
-        return false;
-    }
-    return organisation_ == nullptr || organisation_->allowed_regions.empty() ||
-           contains(organisation_->allowed_regions, region);
-}
-
 choice_request request_flow::choice_parameters() const
 {
     choice_request request;
     request.service = service_;
     request.object = object_;
     request.region_allowed = [this](std::string_view region)
-    { return region_allowed(region); };
+    { return region_allowed(*route_, organisation_, region); };
     request.excluded = tried_targets_;
     request.prefer_other_regions = prefer_other_regions_;
     request.work = state_.work(*route_, service_).current();
@@ -238,22 +220,15 @@
     wait_or_refuse(outcome.failure);
 }
 
-bool request_flow::may_wait(duration expected) const
-{
-    const duration max_wait = route_->objective / wait_divisor;
-    const duration work_time_warm =
-        state_.work(*route_, service_).current().warm;
-    return waited_ + expected <= max_wait &&
-           expected + work_time_warm <= remaining().deadline;
-}
-
 void request_flow::wait_or_refuse(choice_failure failure)
 {
     const waiting_rank rank{organisation_ == nullptr ? route_->priority
                                                      : organisation_->priority,
                             route_->priority};
     const duration expected = expected_wait(rank);
-    if (failure == choice_failure::too_late || !may_wait(expected))
+    if (!may_wait({failure, expected, waited_, route_->objective,
+                   state_.work(*route_, service_).current().warm,
+                   remaining().deadline}))
     {
         end_unserved(failure == choice_failure::no_target
                          ? refusal_reason::no_target
@@ -263,8 +238,8 @@
     }
     waiting_since_ = state_.now();
     waiting_ = state_.wait(service_, rank, shared_from_this());
-    const duration max_wait = route_->objective / wait_divisor - waited_;
-    waiting_timer_ = state_.loop.after(max_wait,
+    const duration wait_left = max_wait(route_->objective) - waited_;
+    waiting_timer_ = state_.loop.after(wait_left,
                                        [weak = weak_from_this()]
                                        {
                                            if (auto self = weak.lock())
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -69,12 +69,10 @@
     void wait_or_refuse(choice_failure failure);
     choice_request choice_parameters() const;
     duration expected_wait(waiting_rank rank) const;
-    bool may_wait(duration expected) const;
     void on_wait_limit();
     void stop_waiting();
     choice_outcome choose();
     remaining_time remaining() const;
-    bool region_allowed(std::string_view region) const;
 
     // Attempts
     void send(const target_choice& choice, send_permission permission);
--- a/src/gateway/selection/target_order.cpp
+++ b/src/gateway/selection/target_order.cpp
@@ -14,8 +14,8 @@
 {
 
 /// Targets that are expected below the first bound of the scores. Fewer than 8
-/// are below it for 8 objects in 10,000, which need a second scan.
-constexpr double expected_below_bound = 20;
+/// are below it for 1 object in 100, which needs a second scan.
+constexpr double expected_below_bound = 16;
 
 /// Uniform in [0, 1), independent for each pair (finalizer of MurmurHash3).
 double uniform(std::uint64_t object, std::uint64_t key)
--- a/src/operator/command.hpp
+++ b/src/operator/command.hpp
@@ -95,6 +95,9 @@
 std::shared_ptr<command> make_report(command_environment environment,
                                      const std::string& route,
                                      exit_handler done);
+std::shared_ptr<command> make_explain(command_environment environment,
+                                      const std::string& location,
+                                      exit_handler done);
 std::shared_ptr<command> make_hash_key(command_environment environment,
                                        exit_handler done);
 std::shared_ptr<command> make_site_map_publish(command_environment environment,
--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -34,6 +34,8 @@
     {"report", "ROUTE", "shows the final report of a route", make_report},
     {"drain", "TARGET", "waits until a withdrawn target runs no request",
      make_drain},
+    {"explain", "HOST/PATH",
+     "tells where a gateway would route a request now, and why", make_explain},
     {"hash-key", "", "reads a key from standard input and prints its SHA-256",
      [](command_environment environment, const std::string&, exit_handler done)
      { return make_hash_key(std::move(environment), std::move(done)); }},
