--- a/include/siskinflow/gateway/region_split.hpp
+++ b/include/siskinflow/gateway/region_split.hpp
@@ -55,6 +55,9 @@
     /// @brief Records a request that did.
     void on_overflow();
 
+    /// @brief Whether requests for an object go to another region.
+    bool selects(std::uint64_t object) const;
+
     /// @brief Fraction of requests that go to other regions, from 0 to 1.
     double other_region_fraction() const
     {
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -4,6 +4,7 @@
 #include "memory/memory_watch.hpp"
 #include "peer_exchange.hpp"
 #include "relayed_store.hpp"
+#include "request_explanation.hpp"
 #include "request_flow.hpp"
 #include "state_feed.hpp"
 #include "store_era_log.hpp"
@@ -439,6 +440,13 @@
 
 void gateway_node::impl::on_metrics(const net::exchange_ptr& exchange)
 {
+    const net::http_request& request = exchange->request();
+    if (request.path == explanation_path)
+    {
+        exchange->respond(
+            explain_request(state, read_explained_request(request.query)));
+        return;
+    }
     set_withdrawn_targets();
     memory.set_metrics(caller_connections());
     eras.update_gauge();
--- a/src/gateway/region_split.cpp
+++ b/src/gateway/region_split.cpp
@@ -94,15 +94,20 @@
     overflow_allowance_ -= 1;
 }
 
+bool region_split::selects(std::uint64_t object) const
+{
+    constexpr std::uint64_t hash_buckets = 10000;
+    return static_cast<double>(object % hash_buckets) <
+           other_region_fraction_ * hash_buckets;
+}
+
 bool region_split::use_other_region(std::optional<std::uint64_t> object)
 {
     overflow_allowance_ =
         std::min(overflow_allowance_ + overflow_share, max_overflow_allowance);
     if (object)
     {
-        constexpr std::uint64_t hash_buckets = 10000;
-        return static_cast<double>(*object % hash_buckets) <
-               other_region_fraction_ * hash_buckets;
+        return selects(*object);
     }
     fractional_requests_ += other_region_fraction_;
     const bool use_other = fractional_requests_ >= 1;
