Account for answers to callers, share request bodies, limit bodies as configured

Cause: with the old HTTP server, answers to callers were not accounted for, a body over the operators' limit was received whole before it was refused, and each attempt copied the body of its request.

Change: the callers' listener uses the memory budget and refuses bodies over max-body-bytes of the configuration in force (http_server::set_max_body_bytes). The body of a request is shared by exchange and attempts (http_request::body_owner), because a cancelled call may write it for one pass of the loop after the exchange has ended. Small changes in the server's files: server_context::options is not const, server_exchange keeps its body as shared bytes.

The process tests have not been run with this commit.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -28,6 +28,8 @@
     bool has_query = false; ///< There was a '?', also if nothing followed.
     http_headers headers;
     std::string_view body; ///< Valid until the exchange is finished.
+    /// Keeps the bytes of the body beyond that; null if it is not shared.
+    std::shared_ptr<const void> body_owner;
     std::string peer;      ///< Caller's IP address.
     std::size_t header_bytes = 0;
 
@@ -167,6 +169,9 @@
     /// handed over: the last answer carries `connection: close`.
     void close_after_responses();
 
+    /// @brief Sets the limit of bodies for requests that begin from now on.
+    void set_max_body_bytes(std::size_t value);
+
     /// @brief Closes the listener; open connections are kept.
     void stop_accepting();
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -255,6 +255,7 @@
     result<void> listen();
     void start_tasks();
     void update_readiness();
+    void limit_bodies();
     void on_request(const net::exchange_ptr& exchange);
     void on_readiness(const net::exchange_ptr& exchange) const;
     void on_lookup(const net::exchange_ptr& exchange);
@@ -302,6 +303,7 @@
     {
         options.max_connections = entry.max_connections;
         options.max_body_bytes = entry.max_body_bytes;
+        options.memory = entry.server == &requests ? state.memory : nullptr;
         auto opened = net::http_server::listen(loop, entry.address, options,
                                                entry.handle);
         if (!opened)
@@ -368,10 +370,21 @@
                                 [this]
                                 {
                                     update_readiness();
+                                    limit_bodies();
                                     state.place_all_waiting();
                                 }));
 }
 
+/// The operators' limit, so that a longer body is refused before it arrives.
+void gateway_node::impl::limit_bodies()
+{
+    const std::size_t limit =
+        state.policy == nullptr
+            ? state.memory->limit()
+            : state.policy->document().limits.max_body_bytes;
+    requests->set_max_body_bytes(std::min(limit, max_buffered_body_bytes));
+}
+
 void gateway_node::impl::update_readiness()
 {
     if (lifecycle.state() != lifecycle_state::starting ||
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -108,7 +108,15 @@
     out.target = caller_request.path_and_query();
     out.headers = state_.protocol.target_request_headers(
         caller_request, {record.id, organisation_name(), remaining().deadline});
-    out.body = std::string(caller_request.body);
+    if (caller_request.body_owner != nullptr)
+    {
+        out.shared_body = caller_request.body;
+        out.body_owner = caller_request.body_owner;
+    }
+    else
+    {
+        out.body = std::string(caller_request.body);
+    }
     out.id = caller_fields_.id;
     out.connect_timeout =
         state_.targets.distance_to(*choice.chosen) == distance::other_region
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -89,6 +89,11 @@
     return ok();
 }
 
+void http_server::set_max_body_bytes(std::size_t value)
+{
+    impl_->context->options.max_body_bytes = value;
+}
+
 void http_server::close_after_responses()
 {
     impl_->context->closing = true;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -29,7 +29,7 @@
     }
 
     event_loop& loop;
-    const http_server_options options;
+    http_server_options options;
     const http_server::handler on_request;
     http_server_stats counts;
     std::size_t open_exchanges = 0;
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -11,10 +11,12 @@
                                  received_head head, std::string body,
                                  memory_budget::hold held)
     : connection_(&connection), request_(std::move(head.request)),
-      body_(std::move(body)), held_(std::move(held)), http_1_0_(head.http_1_0),
+      held_(std::move(held)), http_1_0_(head.http_1_0),
       closes_(!head.persistent)
 {
-    request_.body = body_;
+    const auto shared = std::make_shared<const std::string>(std::move(body));
+    request_.body = *shared;
+    request_.body_owner = shared;
 }
 
 void server_exchange::respond(http_response response)
@@ -113,7 +115,7 @@
 {
     connection_ = nullptr;
     request_.body = {};
-    body_ = {};
+    request_.body_owner.reset();
     held_ = {};
     output_.clear();
     return {std::exchange(on_drain_, nullptr),
--- a/src/net/server_exchange.hpp
+++ b/src/net/server_exchange.hpp
@@ -69,7 +69,7 @@
     /// @brief Bytes of the request and the unwritten answer.
     std::size_t bytes() const
     {
-        return request_.header_bytes + body_.size() + output_.bytes();
+        return request_.header_bytes + request_.body.size() + output_.bytes();
     }
 
     /// @brief Callback to run if the handler waits to write more, and the
@@ -102,7 +102,6 @@
 
     server_connection* connection_; ///< Null: the exchange is detached.
     http_request request_;
-    std::string body_;
     memory_budget::hold held_;
     output_buffer output_;
     answer_writer writer_;
