--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -30,7 +30,7 @@
     std::string_view body; ///< Valid until the exchange is finished.
     /// Keeps the bytes of the body beyond that; null if it is not shared.
     std::shared_ptr<const void> body_owner;
-    std::string peer;      ///< Caller's IP address.
+    std::string peer; ///< Caller's IP address.
     std::size_t header_bytes = 0;
 
     /// @brief Path and query as they arrived.
