--- a/tests/unit/gateway_leaving_targets_test.cpp
+++ b/tests/unit/gateway_leaving_targets_test.cpp
@@ -36,18 +36,19 @@
                                 std::to_string(record.address.port) +
                                 R"(","max-concurrency":6,"state":")" + state +
                                 R"(","born":)" + std::to_string(born) + "}",
-                            ++revision_, false});
+                            {1, ++revision_},
+                            false});
     }
 
     void remove_target(const std::string& id)
     {
-        targets_.on_change({"servers/" + id, "", ++revision_, true});
+        targets_.on_change({"servers/" + id, "", {1, ++revision_}, true});
     }
 
     void evacuate(const std::string& failure_domain)
     {
         operators_.on_change(
-            {"op/evacuate/" + failure_domain, "{}", ++revision_, false});
+            {"op/evacuate/" + failure_domain, "{}", {1, ++revision_}, false});
     }
 
 private:
