Share the pace of targets, not their load

Change: shared reports give the pace of the moment and the average load of the service; the load of a target is that of this VM's own answers.

--- a/include/siskinflow/gateway/targets.hpp
+++ b/include/siskinflow/gateway/targets.hpp
@@ -138,8 +138,9 @@
     /// @return the load from other VMs according to the report
     double on_load(const load_report& report, time_point now);
 
-    /// @brief Applies a load report that another VM has received, unless a
-    /// newer one is known.
+    /// @brief Applies the pace of a load report that another VM has received,
+    /// unless a newer one is known. Its load is not taken over: all VMs hear of
+    /// an idle target at the same time and would fill it together.
     /// @return the load from other VMs according to the report; empty if it
     /// was not applied
     std::optional<double> on_shared_load(const load_report& report,
@@ -159,15 +160,15 @@
 
 private:
     void on_failure(bool not_reached, time_point now);
-    void set_load(double peer_load, const load_report& report,
-                  time_point reported_at);
+    void set_pace(const load_report& report, time_point reported_at);
 
     target_record record_;
     unsigned in_flight_ = 0;
     bool tried_ = false;
     double peer_load_ = 0; ///< From other VMs, at `load_reported_at_`.
     time_point load_reported_at_{};
-    double pace_ = 1;     ///< At `load_reported_at_`.
+    double pace_ = 1; ///< At `pace_reported_at_`.
+    time_point pace_reported_at_{};
     double slowness_ = 1; ///< Measured, without the pace of the moment.
     time_point answered_at_{};
     time_point cold_until_{};
--- a/src/gateway/targets.cpp
+++ b/src/gateway/targets.cpp
@@ -154,16 +154,14 @@
 
 double target::pace(time_point now) const
 {
-    const double age = to_seconds(now - load_reported_at_);
+    const double age = to_seconds(now - pace_reported_at_);
     return 1 + (pace_ - 1) * std::exp2(-age / pace_half_life_s);
 }
 
-void target::set_load(double peer_load, const load_report& report,
-                      time_point reported_at)
+void target::set_pace(const load_report& report, time_point reported_at)
 {
-    peer_load_ = std::max(0.0, peer_load);
     pace_ = report.pace.value_or(1);
-    load_reported_at_ = reported_at;
+    pace_reported_at_ = reported_at;
 }
 
 double target::on_load(const load_report& report, time_point now)
@@ -171,22 +169,24 @@
     const double total = report.running + report.waiting;
     // The target still counted this VM's request when it made the report.
     const double own = in_flight_ + 1.0;
-    set_load(total - own, report, now);
+    peer_load_ = std::max(0.0, total - own);
+    load_reported_at_ = now;
+    set_pace(report, now);
     return peer_load_;
 }
 
 std::optional<double> target::on_shared_load(const load_report& report,
                                              time_point reported_at)
 {
-    if (reported_at <= load_reported_at_)
+    if (reported_at <= pace_reported_at_)
     {
         return std::nullopt;
     }
+    set_pace(report, reported_at);
     const double total = report.running + report.waiting;
     // The target still counted the request that it answered with the report.
     constexpr double answered = 1;
-    set_load(total - in_flight_ - answered, report, reported_at);
-    return peer_load_;
+    return std::max(0.0, total - in_flight_ - answered);
 }
 
 void target::on_warm_up_left(duration left, time_point now)
