--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -188,7 +188,7 @@
 choice_outcome request_flow::choose()
 {
     const time_point now = state_.now();
-    const choice_outcome out = state_.chooser.choose(choice_parameters(), now);
+    choice_outcome out = state_.chooser.choose(choice_parameters(), now);
     region_split& split = state_.split(service_);
     const bool no_room = !out.choice && out.failure == choice_failure::no_room;
     const bool overflow = out.choice && out.choice->overflow;
