--- a/include/siskinflow/gateway/region_split.hpp
+++ b/include/siskinflow/gateway/region_split.hpp
@@ -42,9 +42,9 @@
     /// evenly
     bool use_other_region(std::optional<std::uint64_t> object);
 
-    /// @brief Records that a request found no room in its own region. The
-    /// fraction grows as if the region were fully utilized: the targets of its
-    /// object are full before all of them are.
+    /// @brief Records that a request found no room in its own region: the
+    /// targets of its object are full before all of them are. The fraction
+    /// grows if the other regions are less utilized.
     void on_no_room(time_point now);
 
     /// @brief Whether a request without room may leave the regions that the
--- a/src/gateway/region_split.cpp
+++ b/src/gateway/region_split.cpp
@@ -64,14 +64,14 @@
     const double local = utilization(load.local_load, load.local_slots);
     const double remote = utilization(load.remote_load, load.remote_slots);
     const bool short_of_room = now - no_room_at_ < room_time;
-    const double pressure =
-        short_of_room ? std::max(local, high_utilization) : local;
-    if ((short_of_room || local > high_utilization) &&
-        remote < pressure - min_utilization_difference)
+    // While all regions are overloaded, each of them finds no room at times.
+    // Moving objects between them would only make their targets cold.
+    const bool others_have_room = remote < local - min_utilization_difference;
+    if ((short_of_room || local > high_utilization) && others_have_room)
     {
         other_region_fraction_ += change;
     }
-    else if (local < low_utilization || remote > pressure)
+    else if (local < low_utilization || remote > local)
     {
         other_region_fraction_ -= change;
     }
