--- a/src/gateway/region_split.cpp
+++ b/src/gateway/region_split.cpp
@@ -18,8 +18,7 @@
 /// Utilization by which the other regions must be lower for the fraction to
 /// grow.
 constexpr double min_utilization_difference = 0.1;
-/// Time without a request that found no room after which the fraction may
-/// shrink.
+/// Time for which a request that found no room lets the fraction grow.
 constexpr duration room_time = std::chrono::seconds(2);
 /// Share of the requests that may overflow, and how many at once.
 constexpr double overflow_share = 0.03;
