--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Builds the programs of the second review's scripts, each with its stand-ins:
+# review/build-2.sh
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p bin
+compile()
+{
+    g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -I lib-2 "$@"
+}
+compile -c lib-2/world.cpp -o bin/world-2.o
+jobs=()
+for source in */scenario.cpp; do
+    compile "$source" bin/world-2.o -o "bin/scenario-$(dirname "$source")" &
+    jobs+=("$!")
+done
+status=0
+for job in "${jobs[@]}"; do
+    wait "$job" || status=1
+done
+exit "$status"
