Review case 9: unread bodies of a crowd take the memory of a machine

A connection that waits for room of the budget keeps its unread bytes in the kernel, where nothing limits their sum.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,10 +8,13 @@
 {
     g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -I lib-2 "$@"
 }
-compile -c lib-2/world.cpp -o bin/world-2.o
+for source in world memory_play; do
+    compile -c "lib-2/$source.cpp" -o "bin/$source-2.o"
+done
 jobs=()
 for source in */scenario.cpp; do
-    compile "$source" bin/world-2.o -o "bin/scenario-$(dirname "$source")" &
+    compile "$source" bin/world-2.o bin/memory_play-2.o \
+        -o "bin/scenario-$(dirname "$source")" &
     jobs+=("$!")
 done
 status=0
--- a/review/lib-2/world.cpp
+++ b/review/lib-2/world.cpp
@@ -227,7 +227,8 @@
     return true;
 }
 
-std::optional<std::string> connection::receive(std::chrono::milliseconds limit)
+std::optional<std::string> connection::receive(std::chrono::milliseconds limit,
+                                               std::size_t most)
 {
     pollfd ready{descriptor_, POLLIN, 0};
     const int wait = static_cast<int>(std::max<std::int64_t>(0, limit.count()));
@@ -235,7 +236,7 @@
     {
         return std::nullopt;
     }
-    std::string out(65536, '\0');
+    std::string out(std::min<std::size_t>(most, 65536), '\0');
     const ssize_t n = ::recv(descriptor_, out.data(), out.size(), 0);
     out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
     return out;
--- a/review/lib-2/world.hpp
+++ b/review/lib-2/world.hpp
@@ -76,7 +76,8 @@
          std::chrono::milliseconds limit = std::chrono::milliseconds(60000));
     /// @brief Reads some bytes.
     /// @return nothing at a time-out; empty at the end or an error
-    std::optional<std::string> receive(std::chrono::milliseconds limit);
+    std::optional<std::string> receive(std::chrono::milliseconds limit,
+                                       std::size_t most = 65536);
 
 private:
     int descriptor_;
