Review case 10: a machine stays with an old configuration after a rejection

A watch whose answer is over 8 MB is repeated in vain until the store drops its history; a withdrawn key works meanwhile.

--- a/review/lib-2/world.cpp
+++ b/review/lib-2/world.cpp
@@ -13,6 +13,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <set>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -415,6 +416,11 @@
     {
         changed_.wait_for(lock, 50ms);
         const auto now = steady::now();
+        while (!history_.empty() && history_.front().at + history < now)
+        {
+            dropped_ = history_.front().revision;
+            history_.erase(history_.begin());
+        }
         for (auto entry = leases_.begin(); entry != leases_.end();)
         {
             if (entry->second.end > now)
@@ -451,7 +457,7 @@
     {
         entry.create_revision = revision_;
     }
-    history_.push_back({revision_, key, entry});
+    history_.push_back({revision_, key, entry, steady::now()});
     changed_.notify_all();
 }
 
@@ -459,7 +465,7 @@
 {
     if (items_.erase(key) != 0)
     {
-        history_.push_back({++revision_, key, std::nullopt});
+        history_.push_back({++revision_, key, std::nullopt, steady::now()});
         changed_.notify_all();
     }
 }
@@ -476,6 +482,13 @@
     erase(key);
 }
 
+void store::refuse(bool refused)
+{
+    const std::lock_guard lock(mutex_);
+    refused_ = refused;
+    changed_.notify_all();
+}
+
 std::size_t store::count(const std::string& prefix)
 {
     const std::lock_guard lock(mutex_);
@@ -518,6 +531,13 @@
     line >> method >> target;
     const std::string path = target.substr(0, target.find('?'));
     auto query = query_of(target);
+    {
+        const std::lock_guard lock(mutex_);
+        if (refused_)
+        {
+            return {429, json::object()};
+        }
+    }
     if (path == "/kv-range")
     {
         return range(query["prefix"], query["after"]);
@@ -550,7 +570,6 @@
     }
     if (path.starts_with("/kv-keep/"))
     {
-        ++renewals_;
         found->second.end = steady::now() + found->second.ttl;
         return {200, {{"lease", id}}};
     }
@@ -597,6 +616,14 @@
     json events = json::array();
     while (true)
     {
+        if (refused_)
+        {
+            return {429, json::object()};
+        }
+        if (after < dropped_)
+        {
+            return {410, json::object()};
+        }
         for (const event& entry : history_)
         {
             if (entry.revision <= after || !entry.key.starts_with(prefix))
@@ -926,16 +953,22 @@
 // Configuration
 
 void write_config(store& target, const std::string& version,
-                  const std::vector<route>& routes)
+                  const std::vector<route>& routes,
+                  const std::vector<std::string>& keys)
 {
     json rows = json::array();
     json services = json::array();
+    std::set<std::string> named;
     for (const route& entry : routes)
     {
         rows.push_back({entry.name, "site.example", entry.prefix, entry.kind,
                         entry.timeout, entry.objective, 1, nullptr,
                         entry.max_attempts, false, false, json::array(),
                         entry.service});
+        if (!named.insert(entry.service).second)
+        {
+            continue;
+        }
         services.push_back(
             {entry.service, "/health", 390, "h1", false, "3s", 16.0});
     }
@@ -962,9 +995,8 @@
           {{"columns",
             {"name", "api-keys", "priority", "rate-per-s", "burst",
              "allowed-regions"}},
-           {"rows",
-            json::array({json::array({"tenant-one", json::array({"key-one"}), 0,
-                                      0, 0, json::array()})})}}}});
+           {"rows", json::array({json::array(
+                        {"tenant-one", keys, 0, 0, 0, json::array()})})}}}});
 }
 
 bool trouble()
@@ -982,13 +1014,14 @@
 }
 
 std::string request_head(const std::string& method, const std::string& path,
-                         const std::string& id, unsigned deadline_ms)
+                         const std::string& id, unsigned deadline_ms,
+                         const std::string& key)
 {
     return method + " " + path +
            " HTTP/1.1\r\nHost: site.example\r\nSiskinflow-Request-Id: " + id +
            "\r\nSiskinflow-Request-Deadline-Ms: " +
-           std::to_string(deadline_ms) +
-           "\r\nAuthorization: Bearer key-one\r\n";
+           std::to_string(deadline_ms) + "\r\nAuthorization: Bearer " + key +
+           "\r\n";
 }
 
 } // namespace world
--- a/review/lib-2/world.hpp
+++ b/review/lib-2/world.hpp
@@ -141,11 +141,10 @@
     /// @brief Writes as the operator or an upstream does.
     void put(const std::string& key, const nlohmann::json& value);
     void remove(const std::string& key);
-    /// @brief Calls that renewed a lease, since the start.
-    std::uint64_t renewals() const
-    {
-        return renewals_;
-    }
+    /// @brief Makes the store turn its callers away with 429, or serve them.
+    void refuse(bool refused);
+    /// @brief Time after which the history of changes is dropped.
+    static constexpr std::chrono::seconds history{20};
     /// @brief Keys with a prefix.
     std::size_t count(const std::string& prefix);
 
@@ -162,6 +161,7 @@
         std::uint64_t revision;
         std::string key;
         std::optional<item> written;
+        steady::time_point at;
     };
     struct lease
     {
@@ -188,7 +188,8 @@
     std::uint64_t revision_ = 100;
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t last_lease_ = 500;
-    std::atomic<std::uint64_t> renewals_{0};
+    std::uint64_t dropped_ = 0; ///< Last revision that the history lacks.
+    bool refused_ = false;
     bool stopping_ = false;
     std::unique_ptr<listener> listener_;
     std::thread expiry_;
@@ -319,9 +320,11 @@
     unsigned max_attempts = 2;
 };
 
-/// @brief Writes `op/config` with one tenant, whose key is `key-one`.
+/// @brief Writes `op/config`.
+/// @param keys of its one tenant
 void write_config(store& target, const std::string& version,
-                  const std::vector<route>& routes);
+                  const std::vector<route>& routes,
+                  const std::vector<std::string>& keys = {"key-one"});
 
 /// @brief Whether the case is played with its disruption.
 bool trouble();
@@ -331,6 +334,7 @@
 
 /// @brief Head of a proper request without the empty line.
 std::string request_head(const std::string& method, const std::string& path,
-                         const std::string& id, unsigned deadline_ms);
+                         const std::string& id, unsigned deadline_ms,
+                         const std::string& key = "key-one");
 
 } // namespace world
