Send no request whose caller has left

Cause: when a connection closes, server_exchange::detach empties the request at once and posts on_cancel. Until that callback runs, the flow stays in its wait queue. A flow that is cancelled earlier in the same pass frees its slot and calls place_waiting, which chooses the next flow whose caller has left too; request_to then copies the empty body. A retry after an attempt that ended in that pass took the same path.

The flow asks its exchange in the three places where an attempt begins or an attempt has ended (place, place_waiting, on_end) and ends as cancelled there. No retry budget is taken for such a request.

--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -328,7 +328,11 @@
     update_estimates(result);
     release_target(result);
     const auto self = shared_from_this();
-    if (result == attempt_result::answered)
+    if (end_if_caller_gone())
+    {
+        // Neither an answer nor a further attempt is of use to anyone.
+    }
+    else if (result == attempt_result::answered)
     {
         deliver();
     }
@@ -416,7 +420,8 @@
     /// Rejections allowed for one request in addition to the attempts that ran.
     constexpr unsigned max_rejections = 2;
     const work_time work = state_.work(*route_, service_).current();
-    return attempts_->possible_runs() < route_->max_attempts &&
+    return !exchange_->done() &&
+           attempts_->possible_runs() < route_->max_attempts &&
            tried_targets_.size() < route_->max_attempts + max_rejections &&
            remaining().deadline > work.warm &&
            state_.retries(service_).try_take();
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -81,14 +81,19 @@
         call_->cancel();
         release_target(attempt_result::abandoned);
     }
-    log_not_served(0, "cancelled", std::nullopt);
-    finish();
+    end_cancelled();
     if (!service_.empty())
     {
         state_.place_waiting(service_);
     }
 }
 
+void request_flow::end_cancelled()
+{
+    log_not_served(0, "cancelled", std::nullopt);
+    finish();
+}
+
 void request_flow::deliver()
 {
     const bool success = status_ < 500;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -216,9 +216,26 @@
                         : in_queue;
 }
 
+/// The exchange of a caller that has left is released at once, its `on_cancel`
+/// is called in a later pass of the loop. Between the two, room that becomes
+/// free must not send the request, whose body is gone.
+bool request_flow::end_if_caller_gone()
+{
+    if (!exchange_->done())
+    {
+        return false;
+    }
+    end_cancelled();
+    return true;
+}
+
 void request_flow::place()
 {
     body_.reset(); // That of an earlier attempt, which is not delivered.
+    if (end_if_caller_gone())
+    {
+        return;
+    }
     const auto permission = attempts_->may_send(route_->idempotent);
     if (!permission)
     {
@@ -289,6 +306,10 @@
 
 bool request_flow::place_waiting()
 {
+    if (end_if_caller_gone())
+    {
+        return true;
+    }
     const auto permission = attempts_->may_send(route_->idempotent);
     if (!permission)
     {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -68,6 +68,7 @@
 
     // Placement
     void place();
+    bool end_if_caller_gone();
     void wait_or_refuse(choice_failure failure);
     choice_request choice_parameters() const;
     duration expected_wait(waiting_rank rank) const;
@@ -98,6 +99,7 @@
     void end_call_later(net::call_outcome outcome);
     bool lacks_memory() const;
     void on_caller_gone();
+    void end_cancelled();
     void deliver();
     void end_unserved(refusal_reason refusal, failure_reason failure,
                       std::optional<duration> retry_after);
--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -147,6 +147,10 @@
     }
     void respond(net::http_response response) override
     {
+        if (gone)
+        {
+            return;
+        }
         ++answers;
         status = response.status;
     }
@@ -168,10 +172,18 @@
         return answers > 0 || gone;
     }
 
-    /// @brief The caller closes its connection.
-    void leave()
+    /// @brief The server has closed the connection of the caller, and calls
+    /// `on_cancel` in the next pass of the loop.
+    void close()
     {
         gone = true;
+        request_.body = {};
+        request_.body_owner.reset();
+    }
+
+    /// @brief That call.
+    void cancel()
+    {
         if (on_cancel_ && answers == 0)
         {
             const auto callback = std::exchange(on_cancel_, nullptr);
@@ -179,6 +191,13 @@
         }
     }
 
+    /// @brief The caller closes its connection.
+    void leave()
+    {
+        close();
+        cancel();
+    }
+
     int answers = 0;
     int status = 0;
     bool gone = false;
