Dispatch no queued request of siskinflowd whose caller has left

The same fault as in the gateway's wait queue, on the data path of siskinflowd: an order that waited for a slot was dispatched with an empty body if a slot became free between the end of its connection and the on_cancel callback.

Such a request stays in the queue, without a rate token or a slot, until the callback removes it and serves the queue again.

entry_queue/a_caller_that_has_left_gets_no_target fails before: the target gets the order without its body.

--- a/src/entry/data_path_service.cpp
+++ b/src/entry/data_path_service.cpp
@@ -49,6 +49,12 @@
 bool data_path::impl::can_leave_queue(const request_ptr& req, time_point now)
 {
     req->wait_reason = refusal_reason::none;
+    if (req->exchange->done())
+    {
+        // The caller has left and the body is released; the cancellation, which
+        // is due in a later pass of the loop, removes the request.
+        return false;
+    }
     if (!req->route->open)
     {
         // The key may have been withdrawn while the request waited.
--- a/tests/unit/entry_fakes.hpp
+++ b/tests/unit/entry_fakes.hpp
@@ -134,18 +134,29 @@
         return finishes == 1 && received_answer.outcome() == outcome &&
                received_answer.reason() == reason;
     }
-    void disconnect()
+    /// The server has closed the connection of the caller, and calls
+    /// `on_cancel` in the next pass of the loop.
+    void close()
     {
-        if (done())
-        {
-            return;
-        }
         disconnected = true;
+        request_.body = {};
+    }
+    /// That call.
+    void cancel()
+    {
         if (const auto callback = std::exchange(cancel_, nullptr))
         {
             callback();
         }
     }
+    void disconnect()
+    {
+        if (!done())
+        {
+            close();
+            cancel();
+        }
+    }
 
     answer received_answer;
     int starts = 0;
--- a/tests/unit/entry_shares_test.cpp
+++ b/tests/unit/entry_shares_test.cpp
@@ -162,6 +162,43 @@
     EXPECT(waiting->received_answer.status == 200);
 }
 
+// Guards against an order that runs without its body after its caller has left:
+// the connection is closed, and its cancellation is still due.
+Test(entry_queue, a_caller_that_has_left_gets_no_target)
+{
+    data_path_fixture run;
+    run.set_target_plans(std::vector<target_plan>(6, {behaviour::manual}));
+    const auto order = [&]
+    { return run.send(data_path_fixture::order(run.permit())); };
+    for (int i = 0; i < 4; ++i)
+    {
+        order();
+    }
+    run.advance(200ms);
+    EXPECT(run.caller.calls.size() == 4);
+    const auto left = order();
+    const auto waiting = order();
+    run.advance(200ms);
+    EXPECT(run.caller.calls.size() == 4);
+    left->close();
+    run.caller.answer(run.caller.calls.at(0));
+    run.advance(200ms);
+    for (const auto& call : run.caller.calls)
+    {
+        EXPECT(call->request.body == "one order");
+    }
+    section("and does not hold up the others",
+            [&]
+            {
+                left->cancel();
+                run.advance(200ms);
+                EXPECT(run.caller.calls.size() == 5);
+                run.caller.answer(run.caller.calls.at(4));
+                EXPECT(waiting->received_answer.status == 200);
+                EXPECT(left->starts == 0);
+            });
+}
+
 // Guards against slots that are never released: a request that is refused
 // because the rate is used up must not take a slot.
 Test(entry_rate, a_request_over_its_rate_takes_no_slot)
