Tell at once which pipelined requests can't be answered

http_exchange::done says so from the moment the closing answer is written or the connection has failed, and the data paths ask it before they send. Bytes behind a closing answer are not parsed.

net_server/tells_at_once_which_requests_can_not_be_answered fails before, in its first section, and in its last one without the change of may_parse.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -85,7 +85,9 @@
     /// @brief Called once when the caller has disconnected.
     virtual void on_cancel(std::function<void()> callback) = 0;
 
-    /// @brief Whether the answer is complete or the caller has disconnected.
+    /// @brief Whether the answer is complete or can't reach the caller any
+    /// more, also if `on_cancel` is still to be called. The body of the request
+    /// may be released then.
     virtual bool done() const = 0;
 };
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -347,6 +347,26 @@
     }
 }
 
+bool server_connection::can_answer(const server_exchange& exchange) const
+{
+    for (const auto& entry : exchanges_)
+    {
+        if (failed_)
+        {
+            return false;
+        }
+        if (entry.get() == &exchange)
+        {
+            return true;
+        }
+        if (entry->closes())
+        {
+            return false;
+        }
+    }
+    return false;
+}
+
 void server_connection::cancel_from(std::size_t first)
 {
     while (exchanges_.size() > first)
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -100,6 +100,10 @@
     /// @brief Whether the server closes the connection after this answer.
     bool closes_after(const server_exchange& exchange) const;
 
+    /// @brief Whether the answer of an exchange can still be delivered: the
+    /// connection has not failed, and no answer in front of it closes it.
+    bool can_answer(const server_exchange& exchange) const;
+
     // socket_events
 
     void on_received(std::string_view bytes) override;
--- a/src/net/server_connection_input.cpp
+++ b/src/net/server_connection_input.cpp
@@ -107,6 +107,10 @@
     std::size_t bytes = 0;
     for (const auto& exchange : exchanges_)
     {
+        if (exchange->closes())
+        {
+            return false; // What follows is not read.
+        }
         bytes += exchange->bytes();
     }
     return !context_->closing &&
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -94,7 +94,7 @@
 
 bool server_exchange::done() const
 {
-    return connection_ == nullptr || ended();
+    return connection_ == nullptr || ended() || !connection_->can_answer(*this);
 }
 
 bool server_exchange::closes() const
--- a/tests/unit/net_server_test.cpp
+++ b/tests/unit/net_server_test.cpp
@@ -156,6 +156,50 @@
             });
 }
 
+// Guards against an order that is sent to a target after its caller was told
+// that it has not been read: the answer in front of it closes the connection,
+// and its cancellation is still due.
+Test(net_server, tells_at_once_which_requests_can_not_be_answered)
+{
+    server_fixture fixture;
+    caller client(fixture.server->port());
+    section("behind an answer that closes",
+            [&]
+            {
+                client.send(get("/1") + get("/2") + get("/3"));
+                EXPECT(fixture.receives(3));
+                fixture.received[1]->close_after_response();
+                EXPECT(!fixture.received[0]->done());
+                EXPECT(!fixture.received[1]->done());
+                EXPECT(fixture.received[2]->done());
+                EXPECT(fixture.cancelled.empty());
+            });
+    section("after the caller has left",
+            [&]
+            {
+                client.close();
+                EXPECT(fixture.run_until(
+                    [&] { return fixture.cancelled.size() == 3; }));
+                EXPECT(fixture.received[0]->done());
+            });
+    section("in the same bytes as one that is answered and closes",
+            []
+            {
+                server_fixture closing;
+                closing.on_received = [](const exchange_ptr& exchange)
+                {
+                    exchange->close_after_response();
+                    exchange->respond({200, {}, "only"});
+                };
+                caller last(closing.server->port());
+                last.send(get("/1") + get("/2"));
+                EXPECT(closing.closes(last) && !last.reset);
+                EXPECT(closing.received.size() == 1);
+                EXPECT(last.input ==
+                       ok_answer("only", "connection: close\r\n"));
+            });
+}
+
 // Guards against work for a client that has gone, also if it has sent more
 // than the server reads.
 Test(net_server, notices_a_disconnect_at_once)
--- a/tests/unit/server_world.hpp
+++ b/tests/unit/server_world.hpp
@@ -25,6 +25,7 @@
     event_loop loop{time};
     std::vector<exchange_ptr> received;
     std::vector<std::string> cancelled;
+    std::function<void(const exchange_ptr&)> on_received; ///< May be empty.
     std::unique_ptr<http_server> server;
 
     explicit server_fixture(const http_server_options& options = {})
@@ -45,6 +46,10 @@
                                     exchange->on_cancel(
                                         [this, path = exchange->request().path]
                                         { cancelled.push_back(path); });
+                                    if (on_received)
+                                    {
+                                        on_received(exchange);
+                                    }
                                 })
                 .value());
     }
