Release the body of a request before its answer needs the memory

Cause: the body of the request stayed in the memory account until the request was answered, and the body of the answer waited for room in it.

An order releases its body when an answer arrives that will be passed on, an idempotent request when the answer would wait otherwise. The call releases it when it is written, and the account ends with the last owner of the bytes, not before. Answers that are not passed on are not kept.

The same change keeps the sizes of exchanges right if the caller has left: they were measured on the released body.

--- a/include/siskinflow/gateway/answer_result.hpp
+++ b/include/siskinflow/gateway/answer_result.hpp
@@ -29,4 +29,11 @@
 attempt_result classify_answer(const answer_fields& fields, int status,
                                std::string_view instance);
 
+/// @brief Whether a complete answer may be passed on to the caller. Any other
+/// one is followed by a further attempt or by an answer of the gateway's own,
+/// and its body is of no use.
+/// @param result of `classify_answer`
+bool may_be_delivered(attempt_result result, const answer_fields& fields,
+                      int status);
+
 } // namespace siskinflow::gateway
--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -55,6 +55,10 @@
     /// @brief The request; valid for the life of the exchange.
     virtual const http_request& request() const = 0;
 
+    /// @brief Releases the body of the request, which is empty afterwards. Its
+    /// bytes stay in memory while others share `body_owner`.
+    virtual void release_body() = 0;
+
     /// @brief Answers with a whole response.
     virtual void respond(http_response response) = 0;
 
--- a/src/gateway/answer_result.cpp
+++ b/src/gateway/answer_result.cpp
@@ -51,4 +51,12 @@
                : attempt_result::answered;
 }
 
+bool may_be_delivered(attempt_result result, const answer_fields& fields,
+                      int status)
+{
+    return result == attempt_result::answered ||
+           (result == attempt_result::failed && fields.signed_body &&
+            !promises_not_run(status));
+}
+
 } // namespace siskinflow::gateway
--- a/src/gateway/memory/response_buffer.cpp
+++ b/src/gateway/memory/response_buffer.cpp
@@ -86,11 +86,15 @@
     }
 }
 
-/// A failed growth may have evicted others, which call back.
+/// A failed growth may have evicted others, which call back. A body must not
+/// wait for memory of the request that it answers: that is released only when
+/// the request ends.
 void response_buffer::grow_to(std::size_t bytes)
 {
     wanted_ = bytes;
-    if (hold_.grow_to(bytes))
+    if (hold_.grow_to(bytes) ||
+        (control_.release_request && control_.release_request() &&
+         hold_.grow_to(bytes)))
     {
         return;
     }
--- a/src/gateway/memory/response_buffer.hpp
+++ b/src/gateway/memory/response_buffer.hpp
@@ -42,6 +42,9 @@
     /// @brief What the buffer asks of the call; none is called after `take`.
     struct call_control
     {
+        /// Releases what only a further attempt would need.
+        /// @return whether there was anything
+        std::function<bool()> release_request;
         std::function<void()> pause;
         std::function<void()> resume;
         std::function<void()> give_up; ///< After the memory was released.
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -27,7 +27,14 @@
     };
     return response_buffer::make(
         *state_.memory, state_.loop, exchange_->request().peer,
-        {[act] { act([](request_flow& self) { self.call_->pause(); }); },
+        {[act]
+         {
+             bool released = false;
+             act([&released](request_flow& self)
+                 { released = self.release_request_body(); });
+             return released;
+         },
+         [act] { act([](request_flow& self) { self.call_->pause(); }); },
          [act] { act([](request_flow& self) { self.call_->resume(); }); },
          [act]
          {
@@ -40,6 +47,22 @@
          }});
 }
 
+/// Releases the body of a request that has been answered, in part at least:
+/// delivering the answer goes before a further attempt.
+/// @return whether there was a body
+bool request_flow::release_request_body()
+{
+    if (request_body_bytes_ == 0 || !delivers_answer_)
+    {
+        return false;
+    }
+    if (!std::exchange(request_body_released_, true))
+    {
+        exchange_->release_body();
+    }
+    return true;
+}
+
 /// Whether the present attempt waits for memory, or lost its body to others.
 /// It says nothing about the target.
 bool request_flow::lacks_memory() const
@@ -142,6 +165,7 @@
     sent_ = now;
     status_ = 0;
     headers_ = {};
+    delivers_answer_ = false;
     body_ = make_body();
     answer_fields_ = {};
     target_->on_sent(now);
@@ -180,6 +204,16 @@
     {
         apply_wish();
     }
+    delivers_answer_ = may_be_delivered(
+        classify_outcome(net::call_outcome::complete), answer_fields_, status_);
+    if (!delivers_answer_)
+    {
+        return;
+    }
+    if (!route_->idempotent)
+    {
+        release_request_body(); // An order that has run is not sent again.
+    }
     // A reservation may end other requests of the same connection, and this one
     // with them.
     const auto self = shared_from_this();
@@ -281,6 +315,10 @@
 
 void request_flow::on_body(std::string_view part)
 {
+    if (!delivers_answer_)
+    {
+        return;
+    }
     const auto self = shared_from_this();
     const auto body = body_;
     body->append(part);
@@ -420,7 +458,7 @@
     /// Rejections allowed for one request in addition to the attempts that ran.
     constexpr unsigned max_rejections = 2;
     const work_time work = state_.work(*route_, service_).current();
-    return !exchange_->done() &&
+    return !exchange_->done() && !request_body_released_ &&
            attempts_->possible_runs() < route_->max_attempts &&
            tried_targets_.size() < route_->max_attempts + max_rejections &&
            remaining().deadline > work.warm &&
@@ -436,8 +474,7 @@
         place();
         return;
     }
-    if (result == attempt_result::failed && answer_fields_.signed_body &&
-        !promises_not_run(status_))
+    if (delivers_answer_ && result == attempt_result::failed)
     {
         deliver();
         return;
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -111,8 +111,8 @@
     {
         log_not_served(status_, "target_answered_failure", std::nullopt);
     }
-    state_.targets.exchange_sizes(service_).observe(
-        exchange_->request().body.size() + body_->size());
+    state_.targets.exchange_sizes(service_).observe(request_body_bytes_ +
+                                                    body_->size());
     // The exchange accounts for the body from here on. Nothing else can take
     // the room meanwhile, because waiting owners are called from the loop.
     exchange_->respond({status_, std::move(headers_), body_->take()});
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -21,7 +21,8 @@
 request_flow::request_flow(gateway_state& state, net::exchange_ptr exchange)
     : state_(state), exchange_(std::move(exchange)), policy_(state.policy),
       arrived_(state.now()), deadline_(arrived_ + max_request_time),
-      waiting_since_(arrived_), sent_(arrived_)
+      waiting_since_(arrived_), sent_(arrived_),
+      request_body_bytes_(exchange_->request().body.size())
 {
 }
 
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -81,6 +81,7 @@
     void send(const target_choice& choice, send_permission permission);
     net::client_request request_to(const target_choice& choice) const;
     std::shared_ptr<response_buffer> make_body();
+    bool release_request_body();
     void start_attempt_timer();
     void on_attempt_timer();
     void refuse_foreign_answer();
@@ -152,6 +153,11 @@
     int status_ = 0;
     net::http_headers headers_;
     std::shared_ptr<response_buffer> body_; ///< Of the present attempt.
+    std::size_t request_body_bytes_;
+    /// The request is not sent again.
+    bool request_body_released_ = false;
+    /// The answer of the present attempt may be passed on to the caller.
+    bool delivers_answer_ = false;
     answer_fields answer_fields_;
     bool ended_ = false;
 };
--- a/src/net/client_call.cpp
+++ b/src/net/client_call.cpp
@@ -259,9 +259,24 @@
     {
         native_write_callback_ = std::exchange(socket->_cb.write, on_written);
     }
+    release_written_body();
     intercept_reads();
 }
 
+/// The socket refers to the body until it has reported the write. A call never
+/// sends its request again.
+void client_call::release_written_body()
+{
+    if (client_ == nullptr || client_->sock == nullptr ||
+        client_->sock->_cb.write != nullptr)
+    {
+        return;
+    }
+    request_.body = {};
+    request_.shared_body = {};
+    request_.body_owner.reset();
+}
+
 void client_call::intercept_reads()
 {
     if (client_ == nullptr || client_->sock == nullptr)
@@ -279,6 +294,7 @@
 {
     const auto self = from_socket(socket)->shared_from_this();
     self->native_write_callback_(socket, error);
+    self->release_written_body();
     self->intercept_reads();
 }
 
--- a/src/net/client_call.hpp
+++ b/src/net/client_call.hpp
@@ -68,6 +68,7 @@
     void stop_reading();
     void intercept_callbacks();
     void intercept_reads();
+    void release_written_body();
     bool is_head_parsable();
     bool exceeds_framing_limit() const;
     bool exceeds_body_limit() const;
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -7,18 +7,40 @@
 namespace siskinflow::net
 {
 
+namespace
+{
+
+/// A body and its account, which end together.
+struct accounted_body
+{
+    std::string bytes;
+    memory_budget::hold held;
+};
+
+} // namespace
+
 server_exchange::server_exchange(server_connection& connection,
                                  received_head head, std::string body,
                                  memory_budget::hold held)
     : connection_(&connection), request_(std::move(head.request)),
-      held_(std::move(held)), http_1_0_(head.http_1_0),
-      closes_(!head.persistent)
+      http_1_0_(head.http_1_0), closes_(!head.persistent)
 {
-    const auto shared = std::make_shared<const std::string>(std::move(body));
-    request_.body = *shared;
+    const auto shared = std::make_shared<const accounted_body>(
+        accounted_body{std::move(body), std::move(held)});
+    request_.body = shared->bytes;
     request_.body_owner = shared;
 }
 
+void server_exchange::release_body()
+{
+    request_.body = {};
+    request_.body_owner.reset();
+    if (connection_ != nullptr)
+    {
+        connection_->schedule_update(); // It may read further requests.
+    }
+}
+
 void server_exchange::respond(http_response response)
 {
     if (connection_ == nullptr || started())
@@ -114,9 +136,7 @@
 server_exchange::callbacks server_exchange::detach()
 {
     connection_ = nullptr;
-    request_.body = {};
-    request_.body_owner.reset();
-    held_ = {};
+    release_body();
     output_.clear();
     return {std::exchange(on_drain_, nullptr),
             std::exchange(on_cancel_, nullptr)};
--- a/src/net/server_exchange.hpp
+++ b/src/net/server_exchange.hpp
@@ -23,7 +23,8 @@
 class server_exchange final : public http_exchange
 {
 public:
-    /// @param held accounts for the request
+    /// @param held accounts for the request, until its body is released by all
+    /// that share it
     server_exchange(server_connection& connection, received_head head,
                     std::string body, memory_budget::hold held);
 
@@ -31,6 +32,7 @@
     {
         return request_;
     }
+    void release_body() override;
     void respond(http_response response) override;
     void start(int status, const http_headers& headers,
                std::optional<std::size_t> content_length) override;
@@ -102,7 +104,6 @@
 
     server_connection* connection_; ///< Null: the exchange is detached.
     http_request request_;
-    memory_budget::hold held_;
     output_buffer output_;
     answer_writer writer_;
     end_state end_ = end_state::none;
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -32,10 +32,12 @@
 platform_target::start(net::event_loop& loop, platform_target_options options)
 {
     const std::uint16_t port = options.port;
+    net::http_server_options server_options;
+    server_options.max_body_bytes = options.max_body_bytes;
     std::unique_ptr<platform_target> out(
         new platform_target(loop, std::move(options)));
     auto server = net::http_server::listen(
-        loop, {"127.0.0.1", port}, {},
+        loop, {"127.0.0.1", port}, server_options,
         [target = out.get()](const net::exchange_ptr& exchange)
         { target->handle(exchange); });
     if (!server)
@@ -209,7 +211,25 @@
         exchange->abort();
         return;
     }
+    if (options_.answer_parts > 0)
+    {
+        answer_in_parts(exchange, headers, body);
+        return;
+    }
     exchange->respond({200, headers, body});
 }
 
+void platform_target::answer_in_parts(const net::exchange_ptr& exchange,
+                                      const net::http_headers& headers,
+                                      const std::string& body) const
+{
+    const std::size_t part = body.size() / options_.answer_parts + 1;
+    exchange->start(200, headers, std::nullopt);
+    for (std::size_t at = 0; at < body.size(); at += part)
+    {
+        exchange->write(body.substr(at, part));
+    }
+    exchange->finish();
+}
+
 } // namespace standin
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -41,6 +41,9 @@
     unsigned slots = 6;
     double cut_part = 0; ///< Fraction of answers truncated after the run.
     std::size_t min_answer_bytes = 0; ///< Shorter answers are filled up.
+    /// Successes are sent in this many parts without a length; 0: as a whole.
+    std::size_t answer_parts = 0;
+    std::size_t max_body_bytes = 1024 * 1024; ///< Larger bodies get 413.
     /// Whether the reported load has a fourth figure: how long work takes now,
     /// in percent of the time at the start.
     bool reports_pace = false;
@@ -209,6 +212,9 @@
     bool should_truncate_next();
     std::string load() const;
     bool chance(double part);
+    void answer_in_parts(const siskinflow::net::exchange_ptr& exchange,
+                         const siskinflow::net::http_headers& headers,
+                         const std::string& body) const;
     void refuse(const siskinflow::net::exchange_ptr& exchange) const;
     void answer_wrongly(const siskinflow::net::exchange_ptr& exchange,
                         answer_fault fault) const;
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::chrono::milliseconds tick{50};
 constexpr std::size_t ports_per_vm = 5;
+constexpr std::size_t max_answer_bytes = 8U << 20;
 
 json route(const std::string& name, const std::string& kind)
 {
@@ -264,7 +265,8 @@
     {
         out.headers.add("authorization", "Bearer " + request.key);
     }
-    return net::fetch(http_.client(), std::move(out), 1 << 20, std::move(done));
+    return net::fetch(http_.client(), std::move(out), max_answer_bytes,
+                      std::move(done));
 }
 
 net::fetch_result gateway_world::call(std::size_t vm,
--- a/tests/support/composition_vm.hpp
+++ b/tests/support/composition_vm.hpp
@@ -23,6 +23,10 @@
     {
         return request_;
     }
+    void release_body() override
+    {
+        request_.body = {};
+    }
     void respond(net::http_response response) override
     {
         start(response.status, response.headers, response.body.size());
--- a/tests/unit/entry_fakes.hpp
+++ b/tests/unit/entry_fakes.hpp
@@ -79,6 +79,10 @@
     {
         return request_;
     }
+    void release_body() override
+    {
+        request_.body = {};
+    }
     void respond(net::http_response response) override
     {
         start(response.status, response.headers, response.body.size());
@@ -139,7 +143,7 @@
     void close()
     {
         disconnected = true;
-        request_.body = {};
+        release_body();
     }
     /// That call.
     void cancel()
--- a/tests/unit/gateway_memory_test.cpp
+++ b/tests/unit/gateway_memory_test.cpp
@@ -38,10 +38,11 @@
     {
         auto out = std::make_shared<answer>();
         answer* self = out.get();
-        out->buffer = response_buffer::make(
-            *budget, loop, address,
-            {[self] { self->paused = true; }, [self] { self->paused = false; },
-             [self] { self->given_up = true; }});
+        out->buffer =
+            response_buffer::make(*budget, loop, address,
+                                  {nullptr, [self] { self->paused = true; },
+                                   [self] { self->paused = false; },
+                                   [self] { self->given_up = true; }});
         return out;
     }
 
--- a/tests/unit/request_flow_world.hpp
+++ b/tests/unit/request_flow_world.hpp
@@ -145,6 +145,11 @@
     {
         return request_;
     }
+    void release_body() override
+    {
+        request_.body = {};
+        request_.body_owner.reset();
+    }
     void respond(net::http_response response) override
     {
         if (gone)
@@ -177,8 +182,7 @@
     void close()
     {
         gone = true;
-        request_.body = {};
-        request_.body_owner.reset();
+        release_body();
     }
 
     /// @brief That call.
