Bound the connections of callers by the memory of the machine

Cause: connections whose bodies wait for room are not read, and what waits for them in the kernel is in no account; neither their number nor their time was bounded.

Connections are limited by memory beside the descriptors, at most a quarter of them waits for room, for 5 s at most, and further requests without room are refused at once.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -112,6 +112,9 @@
     std::size_t max_header_bytes = 64UL * 1024; ///< Larger heads get 431.
     std::size_t max_body_bytes = 1024 * 1024;   ///< Larger bodies get 413.
     std::size_t max_connections = 1024;         ///< Further ones get 503.
+    /// Connections whose requests wait for room in `memory`; further ones get
+    /// 503 at once. Each keeps bytes that no account has.
+    std::size_t max_waiting_for_room = 256;
     /// Requests of one connection in progress; reading stops there.
     std::size_t max_pipelined = 16;
     /// To receive one request, from its first byte, without the time in which
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -59,6 +59,8 @@
 /// of a normal day, few enough to cost under 1% of a small VM.
 constexpr std::uint32_t log_burst = 60;
 constexpr std::uint32_t log_lines_per_s = 12;
+/// Part of the callers' connections that may wait for memory.
+constexpr std::size_t waiting_connection_part = 4;
 constexpr std::size_t max_buffered_body_bytes = 64U << 20;
 /// Readiness checks, lookups and reads of metrics have no body.
 constexpr std::size_t max_query_body_bytes = 4096;
@@ -282,7 +284,11 @@
     options.request_timeout = caller_idle_timeout;
     const connection_limits limits = divide_descriptors(
         usable_descriptors(settings.max_descriptors), settings.max_connections);
-    max_request_connections = limits.requests;
+    max_request_connections = std::min(
+        limits.requests,
+        connections_for_memory(settings.memory_bytes, state.memory->limit()));
+    options.max_waiting_for_room =
+        max_request_connections / waiting_connection_part;
     using handler = net::http_server::handler;
     struct listener
     {
@@ -294,7 +300,7 @@
         handler handle;
     };
     const listener listeners[] = {
-        {"requests", settings.self.requests, limits.requests,
+        {"requests", settings.self.requests, max_request_connections,
          max_buffered_body_bytes, &requests,
          [this](const net::exchange_ptr& exchange) { on_request(exchange); }},
         {"readiness", settings.readiness_listen, limits.readiness,
--- a/src/gateway/memory/connection_limits.cpp
+++ b/src/gateway/memory/connection_limits.cpp
@@ -22,6 +22,12 @@
 constexpr std::size_t listener_part = 8;
 constexpr std::size_t operator_part = 32;
 constexpr std::size_t min_callers = 32;
+/// Part of a machine's memory that is used.
+constexpr double used_part = 0.9;
+/// Code and state of the process.
+constexpr std::size_t process_bytes = 24UL * 1024 * 1024;
+/// What the kernel receives for a new connection, and buffers and state.
+constexpr std::size_t connection_bytes = (80UL + 24UL) * 1024;
 
 } // namespace
 
@@ -42,6 +48,16 @@
     return out;
 }
 
+std::size_t connections_for_memory(std::size_t memory_bytes,
+                                   std::size_t budget_bytes)
+{
+    const auto used =
+        static_cast<std::size_t>(used_part * static_cast<double>(memory_bytes));
+    const std::size_t others = process_bytes + budget_bytes;
+    const std::size_t left = used - std::min(used, others);
+    return std::max(min_callers, left / connection_bytes);
+}
+
 std::size_t usable_descriptors(std::size_t setting)
 {
     rlimit of_system{};
--- a/src/gateway/memory/connection_limits.hpp
+++ b/src/gateway/memory/connection_limits.hpp
@@ -25,6 +25,14 @@
 connection_limits divide_descriptors(std::size_t max_descriptors,
                                      std::size_t max_callers);
 
+/// @brief Connections of callers that the memory of a machine bears, beside
+/// the budget for what they send and receive: each may have bytes that wait
+/// unread in the kernel, which count as memory of the process.
+/// @param memory_bytes memory of the machine
+/// @param budget_bytes accounted bytes
+std::size_t connections_for_memory(std::size_t memory_bytes,
+                                   std::size_t budget_bytes);
+
 /// @brief Descriptors that the process may open.
 /// @param setting limit that an operator has set
 /// @return the setting, or the system's limit if that is lower
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -58,7 +58,7 @@
     const auto guard = shared_from_this();
     closed_ = true;
     socket_.close();
-    receive_hold_ = {};
+    discard_request();
     output_hold_ = {};
     std::vector<server_exchange::callbacks> callbacks;
     for (const auto& exchange : std::exchange(exchanges_, {}))
@@ -77,11 +77,18 @@
     const auto guard = shared_from_this();
     socket_.close();
     cancel_from(0);
-    receive_hold_ = {};
     output_hold_ = {};
+    discard_request();
+    context_->on_closed(*this);
+}
+
+/// Frees what has been received of a request that is not handed over.
+void server_connection::discard_request()
+{
+    stop_waiting_for_room();
     release_memory(unparsed_);
     release_memory(parser_, request_parser(limits_of(context_->options)));
-    context_->on_closed(*this);
+    receive_hold_ = {};
 }
 
 void server_connection::close_gracefully()
@@ -96,8 +103,7 @@
         close_now();
         return;
     }
-    release_memory(unparsed_);
-    receive_hold_ = {};
+    discard_request();
     output_hold_ = {};
     closing_gracefully_ = true;
     if (counted_ && context_->only_closing < max_only_closing)
@@ -470,9 +476,7 @@
     evicted_ = true;
     parsing_ended_ = true;
     discarded_input_ = true;
-    release_memory(unparsed_);
-    release_memory(parser_, request_parser(limits_of(context_->options)));
-    receive_hold_ = {};
+    discard_request();
     schedule_update();
 }
 
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -36,6 +36,7 @@
     /// Connections that only discard input after their last answer. They do not
     /// count as open: a client could otherwise use up the limit with them.
     std::size_t only_closing = 0;
+    std::size_t waiting_for_room = 0; ///< Connections.
     bool closing = false;   ///< See `http_server::close_after_responses`.
     bool destroyed = false; ///< The server is; no callbacks are run.
     std::function<void(server_connection&)> on_closed;
@@ -126,6 +127,8 @@
     void hand_over();
     void refuse(int status, http_headers headers = {});
     void wait_for_room();
+    void stop_waiting_for_room();
+    void discard_request();
     void pause();
     void resume();
     void send_continue();
--- a/src/net/server_connection_input.cpp
+++ b/src/net/server_connection_input.cpp
@@ -15,6 +15,14 @@
 /// those of connections and of requests in progress.
 constexpr std::size_t min_accounted_bytes = 4096;
 constexpr int status_request_timeout = 408;
+constexpr int status_unavailable = 503;
+/// Longest wait for room in the memory budget.
+constexpr duration max_room_wait = std::chrono::seconds(5);
+
+http_headers retry_later()
+{
+    return {{"retry-after", "1"}};
+}
 
 } // namespace
 
@@ -158,8 +166,7 @@
 {
     parsing_ended_ = true;
     discarded_input_ = true;
-    release_memory(unparsed_);
-    receive_hold_ = {};
+    discard_request();
     received_head head;
     head.persistent = false;
     const auto exchange = std::make_shared<server_exchange>(
@@ -171,20 +178,36 @@
                        std::string(reason_phrase(status)) + "\n"});
 }
 
+/// While a connection waits, the kernel keeps what its client goes on sending,
+/// so their number and their time are bounded.
 void server_connection::wait_for_room()
 {
+    if (context_->waiting_for_room >= context_->options.max_waiting_for_room)
+    {
+        refuse(status_unavailable, retry_later());
+        return;
+    }
+    ++context_->waiting_for_room;
     waits_for_room_ = true;
     context_->options.memory->on_room(
         [weak = weak_from_this()]
         {
             if (const auto self = weak.lock())
             {
-                self->waits_for_room_ = false;
+                self->stop_waiting_for_room();
                 self->update();
             }
         });
 }
 
+void server_connection::stop_waiting_for_room()
+{
+    if (std::exchange(waits_for_room_, false))
+    {
+        --context_->waiting_for_room;
+    }
+}
+
 void server_connection::pause()
 {
     if (!std::exchange(paused_, true))
@@ -232,6 +255,11 @@
 
 void server_connection::check_receiving(time_point now)
 {
+    if (waits_for_room_ && now - paused_at_ >= max_room_wait)
+    {
+        refuse(status_unavailable, retry_later());
+        return;
+    }
     if (paused_ || parsing_ended_ || !receives())
     {
         return;
--- a/tests/crowd/gateway_crowd_test.cpp
+++ b/tests/crowd/gateway_crowd_test.cpp
@@ -275,6 +275,19 @@
     crowded_gateway(max_body).survive(plan);
 }
 
+// Guards against bytes that wait unread in the kernel, which no account has.
+Test(gateway_crowd, bodies_that_stop_short_on_many_connections)
+{
+    constexpr std::size_t body = mebibyte;
+    crowd::plan plan;
+    plan.clients = 1200;
+    plan.head = body_head(body);
+    plan.block = std::string(block_bytes, 'x');
+    plan.blocks = body / block_bytes - 1;
+    plan.tail = std::string(block_bytes - 1024, 'x');
+    crowded_gateway(0, 2000).survive(plan);
+}
+
 // Guards against connections without requests that use up the descriptors, so
 // that the process can reach neither targets nor the store.
 Test(gateway_crowd, connections_that_say_nothing)
