Ask for the newest state when changes do not arrive

Cause: the mirror went on with a watch from its last position. Its answer, all versions since then, was longer than an answer may be, or took longer than a watch may take on a slow link, and the same watch was made again each time.

A mirror lists its prefix, which is bounded by the state, when a watch's answer was cut, when calls have failed for a second or more, and after two watches in a row without an answer. A listing that failed is not repeated beside another.

One section of store_eras/ a_mirror_lists_once_in_a_new_era assumed that a mirror whose watches are refused never lists; its store refuses listings there now too.

--- a/src/store/mirror_answers.cpp
+++ b/src/store/mirror_answers.cpp
@@ -17,6 +17,12 @@
 /// An empty answer to a watch before this time and before the end of its wait
 /// counts as a failure.
 constexpr duration early_answer = std::chrono::milliseconds(400);
+/// After an outage of this length the prefix is listed: a listing is bounded by
+/// the state, the answer to a watch only by what has changed meanwhile.
+constexpr duration min_outage_to_list = std::chrono::seconds(1);
+/// Watches in a row without an answer after which the prefix is listed: their
+/// answer may be too long for the link.
+constexpr unsigned max_replaced_watches = 2;
 
 } // namespace
 
@@ -78,7 +84,9 @@
     }
     if (!page)
     {
-        retry_later(page.error(), &impl::list);
+        // Not made again if another listing was made meanwhile.
+        listing_due = true;
+        retry_later(page.error(), &impl::list_if_due);
         return;
     }
     pacing.on_success();
@@ -131,9 +139,10 @@
     }
     if (!page)
     {
-        retry_later(page.error(), &impl::watch_changes);
+        on_watch_failed(page.error());
         return;
     }
+    replaced_watches = 0;
     pacing.on_watch_success();
     on_success();
     apply(page.value());
@@ -152,6 +161,35 @@
              &impl::watch_changes);
 }
 
+void store_mirror::impl::on_watch_failed(const error& reason)
+{
+    if (reason.code == errc::too_large)
+    {
+        list_again(false);
+        return;
+    }
+    listing_due = listing_due || out_for_long();
+    retry_later(reason,
+                listing_due ? &impl::list_if_due : &impl::watch_changes);
+}
+
+bool store_mirror::impl::out_for_long() const
+{
+    return failing && time.now() - failing_since >= min_outage_to_list;
+}
+
+void store_mirror::impl::replace_watch()
+{
+    listener->on_watch_replaced(time.now() - confirmed_at);
+    if (++replaced_watches < max_replaced_watches)
+    {
+        watch_changes();
+        return;
+    }
+    replaced_watches = 0;
+    list_again(false);
+}
+
 bool store_mirror::impl::is_early(const store_page& page) const
 {
     return page.entries.empty() &&
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -131,12 +131,6 @@
     replace_watch();
 }
 
-void store_mirror::impl::replace_watch()
-{
-    listener->on_watch_replaced(time.now() - confirmed_at);
-    watch_changes();
-}
-
 void store_mirror::impl::watch_changes_for(duration wait)
 {
     // A watch from the position of an earlier era would mix the eras.
@@ -207,7 +201,11 @@
 {
     // The watch may also have been lost while calls are failing, so `failing`
     // is not checked.
-    if (impl_->has_listed)
+    if (impl_->has_listed && impl_->out_for_long())
+    {
+        impl_->list_again(false);
+    }
+    else if (impl_->has_listed)
     {
         impl_->watch_changes();
     }
--- a/src/store/store_mirror_impl.hpp
+++ b/src/store/store_mirror_impl.hpp
@@ -38,6 +38,7 @@
     bool watching = false;             ///< A watch is running.
     std::uint64_t current_watch = 0;   ///< Replies to earlier ones are ignored.
     std::uint64_t current_listing = 0; ///< The same for listings.
+    unsigned replaced_watches = 0;     ///< In a row.
     bool listing = false;              ///< A listing is running.
     bool listing_due = false;          ///< A listing is scheduled.
     bool era_pending = false;    ///< The listing of a new era is not complete.
@@ -80,8 +81,6 @@
 
     void check_watch(std::uint64_t watch_id, duration limit);
 
-    void replace_watch();
-
     void watch_changes_for(duration wait);
 
     void schedule(duration delay, void (impl::*next)());
@@ -106,6 +105,15 @@
 
     void on_changes(result<store_page> page);
 
+    void on_watch_failed(const error& reason);
+
+    /// Whether all calls have failed for so long that a watch could bring more
+    /// than a listing.
+    bool out_for_long() const;
+
+    /// Makes a further call in place of a watch that was not answered.
+    void replace_watch();
+
     /// Whether a watch has ended without a change and before its time; asking
     /// again at once could go on without end.
     bool is_early(const store_page& page) const;
--- a/tests/unit/store_eras_test.cpp
+++ b/tests/unit/store_eras_test.cpp
@@ -233,6 +233,7 @@
             [&]
             {
                 fixture.store.on_watch = [] { return refused(); };
+                fixture.store.on_list = [] { return refused(); };
                 fixture.run_for(60s);
                 EXPECT(!fixture.mirror.confirmed());
                 fixture.mirror.on_peer_confirmation(
