Read the runs of an odd-status test after its call

The test built a pair of the call's outcome and the target's runs in one expression, whose order of evaluation is open: on x86-64 the runs were read before the call and the test failed 9 of 9 times. What it checks is the same.

--- a/tests/process/odd_statuses_test.cpp
+++ b/tests/process/odd_statuses_test.cpp
@@ -157,7 +157,8 @@
             out.path = "/" + service + "/odd";
             out.method = service == "maps" ? "GET" : "POST";
             out.id = "odd-" + std::to_string(++number);
-            return std::pair(world.call(0, out), target.runs(out.id));
+            auto got = world.call(0, out);
+            return std::pair(std::move(got), target.runs(out.id));
         };
         std::string entry;
         // An entry for each line, because those before may be ejected.
