Admit requests that arrive together at a VM that has just started

Cause: such a VM begins with an empty copy of each organisation's bucket and paces requests by its part of the rate until the copy has filled (0.15 s at 10,000 requests a second). The pacing allowed bursts of one request, so two requests in one millisecond got 429 although the organisation used some 4 % of its rate.

The pacing now allows 10 ms of the paced rate, not less than one request: nothing changes for limits below 100 a second on a VM, and all VMs together exceed the limit by at most 0.2 % of 5 s. The test failed before (1 of 24 requests admitted).

--- a/src/gateway/rate_share.cpp
+++ b/src/gateway/rate_share.cpp
@@ -18,8 +18,12 @@
 /// Time between updates of the fraction from the VM's own demand. Peers learn
 /// of it with the next message; the excess until then is within the tolerance.
 constexpr duration fraction_update_interval = std::chrono::milliseconds(40);
-/// Burst of a paced VM, in requests.
-constexpr double paced_burst = 1;
+/// Burst of a paced VM as time of its rate, so that requests which arrive
+/// together are not refused at a small part of the rate. All VMs together
+/// exceed the limit of 5 s by no more than 0.2 %.
+constexpr duration paced_burst_time = std::chrono::milliseconds(10);
+/// Lower bound of that burst, in requests.
+constexpr double min_paced_burst = 1;
 /// Fraction of the burst below which requests are paced.
 constexpr double reserved_burst_fraction = 0.15;
 /// Lower bound of the factor by which an overdraft slows pacing down.
@@ -39,6 +43,19 @@
 constexpr double min_early_report = 3;
 constexpr double demand_growth = 2;
 
+double paced_burst(double rate)
+{
+    return std::max(min_paced_burst, rate * to_seconds(paced_burst_time));
+}
+
+/// Pacing starts without the lower bound of the burst: one token on each VM
+/// would add up to more than a small limit.
+bucket paced_bucket(double rate, time_point now)
+{
+    const double burst = paced_burst(rate);
+    return {rate, burst, burst - min_paced_burst, now};
+}
+
 } // namespace
 
 bool rate_share::admit(time_point now)
@@ -199,9 +216,8 @@
         started_ = true;
         const double level = initial == initial_level::full ? burst : 0;
         fleet_bucket_ = bucket(rate, burst, level, now);
-        paced_bucket_ =
-            bucket(rate / static_cast<double>(std::max<std::size_t>(vms, 1)),
-                   paced_burst, 0, now);
+        paced_bucket_ = paced_bucket(
+            rate / static_cast<double>(std::max<std::size_t>(vms, 1)), now);
     }
     fleet_bucket_.resize(rate, burst, now);
     update_fraction(now);
@@ -241,12 +257,10 @@
         own_demand + peer_demand + idle_demand * (vm_count - 1);
     fraction_ = total_demand > 0 ? own_demand / total_demand : 1 / vm_count;
     const double paced_rate = rate_ * fraction_ * overdraft_correction(now);
-    paced_bucket_.resize(paced_rate, paced_burst, now);
+    paced_bucket_.resize(paced_rate, paced_burst(paced_rate), now);
     if (above_reserve(now))
     {
-        // Pacing starts without tokens: one token on each VM would add up to
-        // more than a small limit.
-        paced_bucket_ = bucket(paced_rate, paced_burst, 0, now);
+        paced_bucket_ = paced_bucket(paced_rate, now);
     }
 }
 
--- a/tests/unit/gateway_usage_test.cpp
+++ b/tests/unit/gateway_usage_test.cpp
@@ -347,6 +347,39 @@
             });
 }
 
+// Guards against refusing requests that arrive together at a VM that has just
+// started, although their organisation uses a small part of its rate: the VM
+// paced single requests until its copy of the bucket had filled.
+Test(gateway_usage, a_vm_that_starts_admits_requests_that_arrive_together)
+{
+    const auto admitted_together = [](double rate, duration since_start)
+    {
+        constexpr int requests = 24;
+        manual_clock time;
+        rate_share share;
+        share.update(rate, rate, 3, time.now(), initial_level::empty);
+        time.advance(since_start);
+        int out = 0;
+        for (int i = 0; i < requests; ++i)
+        {
+            out += share.admit(time.now()) ? 1 : 0;
+        }
+        return out;
+    };
+    section("of an organisation with a high rate",
+            [&]
+            {
+                EXPECT(admitted_together(10000, 0ms) == 24);
+                EXPECT(admitted_together(10000, 20ms) == 24);
+            });
+    section("not of one with a low rate",
+            [&]
+            {
+                EXPECT(admitted_together(20, 0ms) == 0);
+                EXPECT(admitted_together(20, 20ms) == 0);
+            });
+}
+
 // Guards against counting requests twice or not at all when messages are lost
 // or reordered, VMs stop and start, and another VM sums up a domain.
 Test(gateway_usage, sums_hold_under_faults)
