Bound the connections that wait to be accepted

Samples of the sockets each 20 ms: at the peak 476 accepted connections had 24 MB unread and 1,353 that were not accepted yet 133 MB. The backlog was 4,096, each pass of the loop accepted 32, and at the limit it looked through all connections for each one.

- The backlog of callers is a quarter of the connections that the memory bears; lookups, readiness and metrics have 256 and 8 KB of unread bytes each.
- A pass accepts 256, and the search for an idle connection is not repeated before one can have become idle.
- All connections over the limit get their 503, not 32 of them.

Both tests failed before: 157.3 MB of 57.6 used with the process stopped, now 14.1 MB; no answer for the 33rd of 80 connections.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -112,6 +112,12 @@
     std::size_t max_header_bytes = 64UL * 1024; ///< Larger heads get 431.
     std::size_t max_body_bytes = 1024 * 1024;   ///< Larger bodies get 413.
     std::size_t max_connections = 1024;         ///< Further ones get 503.
+    /// Connections that the kernel holds until they are accepted. Each keeps
+    /// unread bytes; a further caller tries to connect again after 1 s.
+    std::size_t max_unaccepted = 4096;
+    /// Buffer of the kernel for unread bytes of a connection; 0: as the system
+    /// sets it, which adapts to the connection.
+    int receive_buffer_bytes = 0;
     /// Connections whose requests wait for room in `memory`; further ones get
     /// 503 at once. Each keeps bytes that no account has.
     std::size_t max_waiting_for_room = 256;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -64,6 +64,9 @@
 constexpr std::size_t max_buffered_body_bytes = 64U << 20;
 /// Readiness checks, lookups and reads of metrics have no body.
 constexpr std::size_t max_query_body_bytes = 4096;
+/// Bounds for the unread bytes of their connections, which are short.
+constexpr int query_buffer_bytes = 8192;
+constexpr std::size_t max_unaccepted_queries = 256;
 /// Time between two looks at the memory that is held for callers.
 constexpr duration memory_check_interval = std::chrono::seconds(1);
 /// Longer than the idle timeouts that policies set for callers, so that callers
@@ -284,9 +287,9 @@
     options.request_timeout = caller_idle_timeout;
     const connection_limits limits = divide_descriptors(
         usable_descriptors(settings.max_descriptors), settings.max_connections);
-    max_request_connections = std::min(
-        limits.requests,
-        connections_for_memory(settings.memory_bytes, state.memory->limit()));
+    const caller_connection_limits callers =
+        connections_for_memory(settings.memory_bytes, state.memory->limit());
+    max_request_connections = std::min(limits.requests, callers.open);
     options.max_waiting_for_room =
         max_request_connections / waiting_connection_part;
     using handler = net::http_server::handler;
@@ -295,28 +298,32 @@
         const char* purpose;
         net::endpoint address;
         std::size_t max_connections;
+        std::size_t max_unaccepted;
         std::size_t max_body_bytes;
         std::unique_ptr<net::http_server>* server;
         handler handle;
     };
     const listener listeners[] = {
         {"requests", settings.self.requests, max_request_connections,
-         max_buffered_body_bytes, &requests,
+         callers.unaccepted, max_buffered_body_bytes, &requests,
          [this](const net::exchange_ptr& exchange) { on_request(exchange); }},
         {"readiness", settings.readiness_listen, limits.readiness,
-         max_query_body_bytes, &readiness,
+         max_unaccepted_queries, max_query_body_bytes, &readiness,
          [this](const net::exchange_ptr& exchange) { on_readiness(exchange); }},
         {"directory", settings.directory_listen, limits.directory,
-         max_query_body_bytes, &directory,
+         max_unaccepted_queries, max_query_body_bytes, &directory,
          [this](const net::exchange_ptr& exchange) { on_lookup(exchange); }},
         {"metrics", settings.metrics_listen, limits.metrics,
-         max_query_body_bytes, &metrics_page,
+         max_unaccepted_queries, max_query_body_bytes, &metrics_page,
          [this](const net::exchange_ptr& exchange) { on_metrics(exchange); }}};
     for (const listener& entry : listeners)
     {
         options.max_connections = entry.max_connections;
+        options.max_unaccepted = entry.max_unaccepted;
         options.max_body_bytes = entry.max_body_bytes;
-        options.memory = entry.server == &requests ? state.memory : nullptr;
+        const bool for_requests = entry.server == &requests;
+        options.memory = for_requests ? state.memory : nullptr;
+        options.receive_buffer_bytes = for_requests ? 0 : query_buffer_bytes;
         auto opened = net::http_server::listen(loop, entry.address, options,
                                                entry.handle);
         if (!opened)
--- a/src/gateway/memory/connection_limits.cpp
+++ b/src/gateway/memory/connection_limits.cpp
@@ -27,7 +27,10 @@
 /// Code and state of the process.
 constexpr std::size_t process_bytes = 24UL * 1024 * 1024;
 /// What the kernel receives for a new connection, and buffers and state.
-constexpr std::size_t connection_bytes = (80UL + 24UL) * 1024;
+constexpr std::size_t connection_bytes = (128UL + 32UL) * 1024;
+/// Of these connections, the part that may wait to be accepted.
+constexpr std::size_t unaccepted_part = 4;
+constexpr std::size_t min_unaccepted = 16;
 
 } // namespace
 
@@ -48,14 +51,17 @@
     return out;
 }
 
-std::size_t connections_for_memory(std::size_t memory_bytes,
-                                   std::size_t budget_bytes)
+caller_connection_limits connections_for_memory(std::size_t memory_bytes,
+                                                std::size_t budget_bytes)
 {
     const auto used =
         static_cast<std::size_t>(used_part * static_cast<double>(memory_bytes));
     const std::size_t others = process_bytes + budget_bytes;
     const std::size_t left = used - std::min(used, others);
-    return std::max(min_callers, left / connection_bytes);
+    const std::size_t all = left / connection_bytes;
+    const std::size_t unaccepted = all / unaccepted_part;
+    return {std::max(min_callers, all - unaccepted),
+            std::max(min_unaccepted, unaccepted)};
 }
 
 std::size_t usable_descriptors(std::size_t setting)
--- a/src/gateway/memory/connection_limits.hpp
+++ b/src/gateway/memory/connection_limits.hpp
@@ -25,13 +25,20 @@
 connection_limits divide_descriptors(std::size_t max_descriptors,
                                      std::size_t max_callers);
 
+/// @brief Connections of callers.
+struct caller_connection_limits
+{
+    std::size_t open = 0;
+    std::size_t unaccepted = 0; ///< Held by the kernel until they are accepted.
+};
+
 /// @brief Connections of callers that the memory of a machine bears, beside
 /// the budget for what they send and receive: each may have bytes that wait
 /// unread in the kernel, which count as memory of the process.
 /// @param memory_bytes memory of the machine
 /// @param budget_bytes accounted bytes
-std::size_t connections_for_memory(std::size_t memory_bytes,
-                                   std::size_t budget_bytes);
+caller_connection_limits connections_for_memory(std::size_t memory_bytes,
+                                                std::size_t budget_bytes);
 
 /// @brief Descriptors that the process may open.
 /// @param setting limit that an operator has set
--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr int listen_backlog = 4096;
 constexpr int udp_buffer_bytes = 4 * 1024 * 1024;
 
 error io_failure(const char* call, const endpoint& local)
@@ -133,7 +132,7 @@
     return out;
 }
 
-result<int> open_bound_socket(const endpoint& local, int type)
+result<int> open_bound_socket(const endpoint& local, int type, int backlog)
 {
     auto address = to_socket_address(local);
     if (!address.has_value())
@@ -163,7 +162,7 @@
         ::close(descriptor);
         return failure;
     }
-    if (type == SOCK_STREAM && ::listen(descriptor, listen_backlog) != 0)
+    if (type == SOCK_STREAM && ::listen(descriptor, backlog) != 0)
     {
         auto failure = io_failure("listen", local);
         ::close(descriptor);
--- a/src/net/h2o_native.hpp
+++ b/src/net/h2o_native.hpp
@@ -56,10 +56,16 @@
 /// @brief Converts back.
 endpoint from_socket_address(const sockaddr* address);
 
+/// @brief Connections that the kernel holds for a listener until they are
+/// accepted, if nothing limits them further.
+constexpr int max_listen_backlog = 4096;
+
 /// @brief Creates a bound, non-blocking socket.
 /// @param type SOCK_STREAM (which then also listens) or SOCK_DGRAM
+/// @param backlog connections that may wait to be accepted
 /// @return the descriptor, or `errc::io_error` naming the address
-result<int> open_bound_socket(const endpoint& local, int type);
+result<int> open_bound_socket(const endpoint& local, int type,
+                              int backlog = max_listen_backlog);
 
 /// @brief Port that a descriptor is bound to.
 std::uint16_t bound_port(int descriptor);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server_impl.hpp"
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -15,8 +16,14 @@
 constexpr int max_unsent_bytes = 128 * 1024;
 
 /// Sets options that accepted sockets inherit.
-void set_inherited_options(int descriptor)
+void set_inherited_options(int descriptor, const http_server_options& options)
 {
+    if (options.receive_buffer_bytes > 0)
+    {
+        ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF,
+                     &options.receive_buffer_bytes,
+                     sizeof(options.receive_buffer_bytes));
+    }
     const int on = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes,
@@ -45,12 +52,15 @@
         }
         state->certificates.push_back(std::move(certificate.value()));
     }
-    auto descriptor = open_bound_socket(listen, SOCK_STREAM);
+    auto descriptor =
+        open_bound_socket(listen, SOCK_STREAM,
+                          static_cast<int>(std::min<std::size_t>(
+                              options.max_unaccepted, max_listen_backlog)));
     if (!descriptor.has_value())
     {
         return descriptor.error();
     }
-    set_inherited_options(descriptor.value());
+    set_inherited_options(descriptor.value(), options);
     state->listening_port = bound_port(descriptor.value());
     state->listener = h2o_evloop_socket_create(
         loop.handle().loop, descriptor.value(), H2O_SOCKET_FLAG_DONT_READ);
--- a/src/net/http_server_impl.hpp
+++ b/src/net/http_server_impl.hpp
@@ -54,6 +54,8 @@
         connections;
     timer_id check_timer = 0;
     bool check_is_soon = false;
+    /// Until then no connection has been idle long enough to be closed.
+    time_point none_idle_until{};
     std::uint16_t listening_port = 0;
 };
 
--- a/src/net/server_connections.cpp
+++ b/src/net/server_connections.cpp
@@ -1,6 +1,7 @@
 #include "http_server_impl.hpp"
 
 #include <algorithm>
+#include <sys/socket.h>
 
 namespace siskinflow::net
 {
@@ -8,8 +9,10 @@
 namespace
 {
 
-/// Limit for one readable event, so that a burst does not block the loop.
-constexpr int max_accepts_per_event = 32;
+/// Limit for one readable event, so that a burst does not block the loop. It is
+/// above the connections that a small machine lets wait, whose unread bytes it
+/// has to bear.
+constexpr int max_accepts_per_event = 256;
 /// Connections over the limit that may wait for their refusal to arrive.
 constexpr std::size_t max_refused_open = 32;
 /// A connection that is idle for less may have a request on its way.
@@ -89,11 +92,21 @@
 
 void http_server::impl::refuse(h2o_socket_t* socket)
 {
-    if (!certificates.empty() || context->only_closing >= max_refused_open)
+    if (!certificates.empty())
     {
         h2o_socket_close(socket);
         return;
     }
+    if (context->only_closing >= max_refused_open)
+    {
+        // The answer fits into an empty buffer of the kernel. It arrives unless
+        // the caller's bytes meet the closed connection first.
+        [[maybe_unused]] const auto written =
+            ::send(h2o_socket_get_fd(socket), over_limit_answer.data(),
+                   over_limit_answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        h2o_socket_close(socket);
+        return;
+    }
     ++context->only_closing;
     add(socket, false)->refuse_connection(std::string(over_limit_answer));
 }
@@ -101,14 +114,22 @@
 bool http_server::impl::close_longest_idle()
 {
     const time_point now = context->loop.now();
+    if (now < none_idle_until)
+    {
+        return false;
+    }
     const auto idle_for = [now](const auto& entry)
     { return entry.second->idle_for(now); };
     const auto longest =
         std::max_element(connections.begin(), connections.end(),
                          [&](const auto& left, const auto& right)
                          { return idle_for(left) < idle_for(right); });
-    if (longest == connections.end() || idle_for(*longest) < min_idle)
+    const duration idle =
+        longest == connections.end() ? duration::zero() : idle_for(*longest);
+    if (idle < min_idle)
     {
+        // All others have been idle for less.
+        none_idle_until = now + min_idle - idle;
         return false;
     }
     ++context->counts.replaced_idle;
--- a/tests/crowd/gateway_crowd_test.cpp
+++ b/tests/crowd/gateway_crowd_test.cpp
@@ -3,6 +3,7 @@
 #include "test_sections.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 
 using namespace siskinflow;
@@ -105,6 +106,20 @@
         descriptors_before_ = gateway().open_descriptors();
     }
 
+    const gateway_ports& ports() const
+    {
+        return world_.ports(0);
+    }
+
+    /// Plays a crowd that comes to a port while the process does not run, for
+    /// as long as the crowd sends.
+    void survive_while_stopped(std::uint16_t port, const crowd::plan& plan)
+    {
+        stopped_ = true;
+        port_ = port;
+        survive(plan);
+    }
+
     /// Plays a crowd and checks what must hold during and after it.
     void survive(const crowd::plan& plan)
     {
@@ -117,8 +132,12 @@
             most_descriptors =
                 std::max(most_descriptors, gateway().open_descriptors());
         };
+        if (stopped_)
         {
-            crowd::clients clients(world_.ports(0).requests, plan);
+            gateway().signal(SIGSTOP);
+        }
+        {
+            crowd::clients clients(port_, plan);
             world_.until(
                 [&]
                 {
@@ -129,6 +148,10 @@
             report("crowd", most_descriptors, clients.open(),
                    clients.bytes_sent());
         }
+        if (stopped_)
+        {
+            gateway().signal(SIGCONT);
+        }
         const bool left = world_.until(
             [&]
             {
@@ -156,7 +179,7 @@
 
     std::size_t unread_bytes()
     {
-        return processes::unread_bytes(world_.ports(0).requests);
+        return processes::unread_bytes(port_);
     }
 
     int ordinary_request()
@@ -187,6 +210,8 @@
     gateway_world world_{1};
     std::size_t descriptor_bound_;
     std::size_t descriptors_before_ = 0;
+    std::uint16_t port_ = ports().requests; ///< That a crowd connects to.
+    bool stopped_ = false;                  ///< While a crowd is there.
 };
 
 } // namespace
@@ -288,6 +313,24 @@
     crowded_gateway(0, 2000).survive(plan);
 }
 
+// Guards against bytes of connections that the process has not accepted yet,
+// which count as its memory like those of the others.
+Test(gateway_crowd, bodies_on_connections_that_are_not_accepted)
+{
+    constexpr std::size_t body = mebibyte;
+    crowd::plan plan;
+    plan.clients = 1200;
+    plan.head = body_head(body);
+    plan.block = std::string(block_bytes, 'x');
+    plan.blocks = body / block_bytes - 1;
+    for (const auto port : {&gateway_ports::requests, &gateway_ports::directory,
+                            &gateway_ports::readiness, &gateway_ports::metrics})
+    {
+        crowded_gateway gateway(0, 2000);
+        gateway.survive_while_stopped(gateway.ports().*port, plan);
+    }
+}
+
 // Guards against connections without requests that use up the descriptors, so
 // that the process can reach neither targets nor the store.
 Test(gateway_crowd, connections_that_say_nothing)
--- a/tests/unit/net_server_limits_test.cpp
+++ b/tests/unit/net_server_limits_test.cpp
@@ -1,6 +1,7 @@
 #include "server_world.hpp"
 #include "test_sections.hpp"
 
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -249,6 +250,32 @@
             });
 }
 
+// Guards against connections over the limit that are closed without an answer
+// when many come at once: their callers can't know that nothing has run.
+Test(net_server_limits, refuses_each_connection_over_the_limit)
+{
+    constexpr std::size_t callers = 80;
+    http_server_options options;
+    options.max_connections = 1;
+    server_fixture fixture(options);
+    caller first(fixture.server->port());
+    first.send(get("/1"));
+    EXPECT(fixture.receives(1));
+    std::list<caller> others;
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        others.emplace_back(fixture.server->port()).send(post(16));
+    }
+    for (caller& other : others)
+    {
+        EXPECT(fixture.closes(other));
+        EXPECT(other.input.starts_with("HTTP/1.1 503 "));
+        EXPECT(other.input.ends_with("}    \n"));
+    }
+    EXPECT(fixture.server->stats().over_connection_limit == callers);
+    EXPECT(fixture.received.size() == 1);
+}
+
 // Guards against answers that a stopping server drops, and against requests
 // that it still accepts.
 Test(net_server_limits, answers_what_it_has_before_it_closes)
