Compare what runs in the soak with what its callers sent

Now method, path with query, and body of each run must be those of a send of its id; bodies and queries are of their own for each request; a run that nobody sent is broken, and so is an order that runs although it stood behind an answer that closed its connection. Callers also come in groups to a service with few targets, with one or three orders with bodies on each connection, the first of which may ask for the end of the connection; most groups leave at one moment.

--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -15,7 +15,8 @@
     const net::http_request& request = exchange->request();
     return {std::string(request.headers.value("siskinflow-request-id")),
             std::string(request.headers.value("siskinflow-expected-instance")),
-            request.path_and_query()};
+            request.path_and_query(), request.method,
+            std::string(request.body)};
 }
 
 } // namespace
--- a/standins/lib/platform_target.hpp
+++ b/standins/lib/platform_target.hpp
@@ -154,6 +154,8 @@
         std::string id;
         std::string instance; ///< That it is meant for, and that answers.
         std::string path;     ///< With the query.
+        std::string method;
+        std::string body;
     };
 
     /// @brief Called with each request that arrives.
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -177,16 +177,22 @@
     maps.update(extra);
     json orders = route("orders", "non_idempotent");
     orders["timeout"] = std::to_string(order_timeout_.count()) + "ms";
-    const json document = {
-        {"version", "r" + std::to_string(++version_)},
-        {"routes", table({maps, orders})},
-        {"services", table({service("maps"), service("orders")})},
-        {"limits",
-         {{"max-header-bytes", 16384},
-          {"max-body-bytes", max_body_bytes_},
-          {"header-timeout", "3000ms"},
-          {"idle-timeout", "15000ms"}}},
-        {"tenants", table(organisations)}};
+    std::vector<json> routes{maps, orders};
+    std::vector<json> services{service("maps"), service("orders")};
+    for (const std::string& name : order_services_)
+    {
+        routes.push_back(route(name, "non_idempotent"));
+        services.push_back(service(name));
+    }
+    const json document = {{"version", "r" + std::to_string(++version_)},
+                           {"routes", table(routes)},
+                           {"services", table(services)},
+                           {"limits",
+                            {{"max-header-bytes", 16384},
+                             {"max-body-bytes", max_body_bytes_},
+                             {"header-timeout", "3000ms"},
+                             {"idle-timeout", "15000ms"}}},
+                           {"tenants", table(organisations)}};
     store_->put("op/config", document.dump());
 }
 
--- a/tests/soak/caller_load.hpp
+++ b/tests/soak/caller_load.hpp
@@ -90,6 +90,7 @@
         const bool is_long = chance(long_orders_per_hundred);
         out.id = (order ? "order-" : "look-") + std::to_string(++number_);
         out.path = !order ? "/maps/1" : is_long ? "/orders/long" : "/orders/1";
+        out.path += "?of=" + out.id;
         out.method = order ? "POST" : "GET";
         out.object = std::to_string(random_() % 20);
         out.patience =
@@ -97,7 +98,7 @@
         out.kept_connection = chance(50);
         if (order && chance(bodies_per_hundred))
         {
-            out.body.assign(random_() % longest_body, 'b');
+            out.body = body_of(out.id, random_() % longest_body);
         }
         return out;
     }
@@ -171,8 +172,8 @@
         if (chance(same_id_per_hundred))
         {
             // The query tells the sends of an id apart at the targets.
-            request.path = request.path.substr(0, request.path.find('?')) +
-                           "?send=" + std::to_string(number + 1);
+            request.path = request.path.substr(0, request.path.find('&')) +
+                           "&send=" + std::to_string(number + 1);
             const auto delay =
                 same_id_delays[random_() % same_id_delays.size()];
             world_.caller().loop().after(delay, [this, vm, request, number]
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -5,6 +5,7 @@
 #include "caller_load.hpp"
 #include "copy_faults.hpp"
 #include "fault_source.hpp"
+#include "group_load.hpp"
 #include "pipelined_load.hpp"
 #include "soak_report.hpp"
 
@@ -41,12 +42,17 @@
 constexpr std::uint64_t copy_seed = 0x636f7079;
 constexpr std::uint64_t pipeline_seed = 0x70697065;
 constexpr std::uint64_t burst_seed = 0x62757273;
+constexpr std::uint64_t group_seed = 0x67726f75;
 /// Of the organisation that sends ten times as much in spells.
 constexpr double burst_rate_per_s = 20;
 /// Orders take long enough that each VM always has some in progress.
 constexpr std::chrono::milliseconds order_work{400};
 constexpr unsigned order_slots = 100;
 constexpr std::chrono::milliseconds long_order_work{4500};
+/// Of the orders of groups; those of a group are more than have room at once.
+constexpr std::chrono::milliseconds draft_work{100};
+constexpr unsigned draft_slots = 6;
+constexpr int draft_targets = 2;
 /// Callers of long orders wait this long.
 constexpr std::chrono::milliseconds order_timeout{9000};
 /// For orders in progress at the end, and those that are slow.
@@ -74,6 +80,22 @@
     return out;
 }
 
+/// Targets of the orders that groups send. The faults leave them alone.
+std::vector<standin::platform_target*> add_draft_targets(gateway_world& world)
+{
+    world.add_order_service(group_load::service);
+    std::vector<standin::platform_target*> out;
+    for (int i = 0; i < draft_targets; ++i)
+    {
+        standin::platform_target_options options;
+        options.id = std::string(group_load::service) + "-" + std::to_string(i);
+        options.work = draft_work;
+        options.slots = draft_slots;
+        out.push_back(&world.add_target(group_load::service, options));
+    }
+    return out;
+}
+
 /// Tells the checker what arrives at the targets and runs there.
 void watch(const std::vector<standin::platform_target*>& targets,
            promise_checker& promises)
@@ -89,13 +111,13 @@
                 promises.on_arrival(seen.instance, seen.id, pause);
             });
         target->on_run([&promises](const arrival& seen)
-                       { promises.on_run(seen.id, seen.path); });
+                       { promises.on_run(seen); });
     }
 }
 
 /// Prints what was played and what became of the requests.
 void print_summary(const fault_source& faults, const copy_faults& copies,
-                   const pipelined_load& pipelined,
+                   const pipelined_load& pipelined, const group_load& groups,
                    const promise_checker& promises, std::uint64_t sent)
 {
     for (const auto& played : {faults.played(), copies.played()})
@@ -117,6 +139,8 @@
         std::cout << "pipelined answers " << count << ": " << pending
                   << " due on their connection\n";
     }
+    std::cout << "orders whose group left before the answer " << groups.left()
+              << "\n";
     std::cout << "seed " << FLAGS_seed << ", requests " << sent;
     for (const auto& [status, count] : promises.statuses())
     {
@@ -192,6 +216,11 @@
     world.set_order_timeout(order_timeout);
     world.add_organisation("bursts", burst_rate_per_s, burst_rate_per_s);
     const auto targets = add_targets(world);
+    auto all_targets = targets;
+    for (standin::platform_target* target : add_draft_targets(world))
+    {
+        all_targets.push_back(target);
+    }
     world.configure();
     if (!world.start_all())
     {
@@ -204,14 +233,16 @@
     }
     promise_checker promises(world, FLAGS_vms);
     caller_load load(world, promises, load_random, FLAGS_vms);
-    watch(targets, promises);
+    watch(all_targets, promises);
     fault_source faults(world, promises, targets, fault_random, FLAGS_vms);
     copy_faults copies(world, targets, FLAGS_seed ^ copy_seed, FLAGS_copies);
     pipelined_load pipelined(world, promises, FLAGS_seed ^ pipeline_seed,
                              FLAGS_vms);
+    group_load groups(world, promises, FLAGS_seed ^ group_seed, FLAGS_vms);
     load.start(request_gap);
     load.start_bursts(FLAGS_seed ^ burst_seed);
     pipelined.start();
+    groups.start();
     auto striking =
         world.caller().loop().every(fault_gap, [&faults] { faults.strike(); });
     auto copying = world.caller().loop().every(copy_fault_gap,
@@ -230,25 +261,28 @@
     }
     load.stop();
     pipelined.stop();
-    world.until([&] { return load.idle() && pipelined.idle(); }, quiet_limit);
+    groups.stop();
+    world.until([&]
+                { return load.idle() && pipelined.idle() && groups.idle(); },
+                quiet_limit);
     check_lost_watches(world, promises);
     const bool quiet = world.until(
         [&]
         {
-            return std::all_of(targets.begin(), targets.end(),
+            return std::all_of(all_targets.begin(), all_targets.end(),
                                [](const standin::platform_target* target)
                                { return target->running() == 0; });
         },
         quiet_limit);
     promises.require(quiet, {}, "targets are still at work");
     promises.check_orders();
-    for (const standin::platform_target* target : targets)
+    for (const standin::platform_target* target : all_targets)
     {
         promises.require(target->faults() == 0, {},
                          "a target saw a key or no organisation");
     }
     keep_logs(world);
-    print_summary(faults, copies, pipelined, promises, load.sent());
+    print_summary(faults, copies, pipelined, groups, promises, load.sent());
     if (!FLAGS_report.empty() &&
         !write_report(FLAGS_report, FLAGS_seed, faults, copies, promises))
     {
--- a/tests/soak/pipelined_connection.hpp
+++ b/tests/soak/pipelined_connection.hpp
@@ -20,15 +20,21 @@
 
 using namespace siskinflow;
 
-/// @brief The bytes of a request without a body.
-inline std::string request_text(const caller_request& request)
+/// @brief The bytes of a request.
+/// @param closing whether it asks for the end of the connection
+inline std::string request_text(const caller_request& request, bool closing)
 {
     return request.method + " " + request.path +
            " HTTP/1.1\r\nhost: site.example\r\nauthorization: Bearer " +
            request.key + "\r\nsiskinflow-request-id: " + request.id +
            "\r\nsiskinflow-affinity-key: " + request.object +
            "\r\nsiskinflow-request-deadline-ms: " +
-           std::to_string(request.patience.count()) + "\r\n\r\n";
+           std::to_string(request.patience.count()) +
+           (closing ? "\r\nconnection: close" : "") +
+           (request.body.empty() ? ""
+                                 : "\r\ncontent-length: " +
+                                       std::to_string(request.body.size())) +
+           "\r\n\r\n" + request.body;
 }
 
 /// @brief Sends bytes to a port on loopback and takes answers apart, which must
--- a/tests/soak/pipelined_load.hpp
+++ b/tests/soak/pipelined_load.hpp
@@ -3,10 +3,8 @@
 /// answered.
 #pragma once
 
-#include "pipelined_connection.hpp"
-#include "promise_checker.hpp"
+#include "pipelined_caller.hpp"
 
-#include <algorithm>
 #include <list>
 #include <random>
 
@@ -58,49 +56,39 @@
     static constexpr std::size_t batch_variation = 5;
     static constexpr int most_batches = 3;
 
-    struct sent_request
-    {
-        caller_request request;
-        time_point sent;
-    };
-
     struct caller
     {
-        caller(std::uint16_t port, std::size_t vm_in)
-            : connection(port), vm(vm_in)
+        caller(gateway_world& world, promise_checker& promises, std::size_t vm)
+            : connection(world, promises, vm)
         {
         }
 
-        pipelined_connection connection;
-        std::size_t vm;
-        std::deque<sent_request> pending;
+        pipelined_caller connection;
         int batches = 0;
     };
 
     void open()
     {
         const std::size_t vm = random_() % vms_;
-        callers_.emplace_back(world_.caller_link(vm).port(), vm);
+        callers_.emplace_back(world_, promises_, vm);
         send_batch(callers_.back());
     }
 
     void send_batch(caller& from)
     {
-        const time_point now = world_.caller().loop().now();
         const std::size_t size = smallest_batch + random_() % batch_variation;
-        std::string bytes;
+        std::vector<caller_request> batch;
         for (std::size_t i = 0; i < size; ++i)
         {
             caller_request request;
             request.id = "look-pipelined-" + std::to_string(++number_);
+            request.path += "?of=" + request.id;
             request.object = std::to_string(random_() % 20);
             request.patience = patience;
-            promises_.on_sent(request, from.vm, now);
-            bytes += request_text(request);
-            from.pending.push_back({std::move(request), now});
+            batch.push_back(std::move(request));
         }
         ++from.batches;
-        from.connection.send(bytes);
+        from.connection.send(std::move(batch));
     }
 
     void read_all()
@@ -114,32 +102,16 @@
     /// @return whether the connection stays open
     bool go_on(caller& from)
     {
-        from.connection.read();
-        while (const auto got = from.connection.take_answer())
+        pipelined_caller& connection = from.connection;
+        const bool open = connection.read(
+            [this, &connection] { ++answers_[connection.pending()]; });
+        if (!open)
         {
-            if (!from.pending.empty())
-            {
-                answers_[from.pending.size()] += 1;
-            }
-            if (!is_in_order(from, *got))
-            {
-                return false;
-            }
-            end_first(from, {net::call_outcome::complete, *got});
-            if (net::equal_ignoring_case(got->headers.value("connection"),
-                                         "close"))
-            {
-                return false; // Nothing is said about those behind it.
-            }
-        }
-        if (from.connection.closed())
-        {
-            end_all(from, net::call_outcome::broken);
             return false;
         }
-        if (!from.pending.empty())
+        if (connection.pending() > 0)
         {
-            return !leaves(from);
+            return !leaves(connection);
         }
         if (from.batches == most_batches)
         {
@@ -149,45 +121,17 @@
         return true;
     }
 
-    bool is_in_order(const caller& from, const net::http_response& got)
-    {
-        const std::string id(got.headers.value("siskinflow-request-id"));
-        const bool expected = !from.pending.empty() &&
-                              from.pending.front().request.id == id &&
-                              from.connection.is_framed();
-        caller_request request;
-        request.id = id;
-        promises_.require(expected, request,
-                          "a pipelined request got another answer");
-        return expected;
-    }
-
-    bool leaves(caller& from)
+    bool leaves(pipelined_caller& from)
     {
         const time_point now = world_.caller().loop().now();
-        if (now - from.pending.front().sent <= patience)
+        if (now - from.waits_since() <= patience)
         {
             return false;
         }
-        end_all(from, net::call_outcome::timed_out);
+        from.time_out();
         return true;
     }
 
-    void end_all(caller& from, net::call_outcome outcome)
-    {
-        while (!from.pending.empty())
-        {
-            end_first(from, {outcome, {}});
-        }
-    }
-
-    void end_first(caller& from, const net::fetch_result& result)
-    {
-        const sent_request ended = std::move(from.pending.front());
-        from.pending.pop_front();
-        promises_.check(from.vm, ended.sent, ended.request, result);
-    }
-
     gateway_world& world_;
     promise_checker& promises_;
     std::mt19937_64 random_;
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway_world.hpp"
+#include "request_content.hpp"
 #include "request_record.hpp"
 
 #include <iostream>
@@ -50,6 +51,7 @@
     void on_sent(const caller_request& request, std::size_t vm, time_point now)
     {
         sent_[request.id] = {vm, now};
+        contents_[request.id].add(request);
         if (request.method == "POST")
         {
             requests_[request.id].set_runs_once_at_most();
@@ -57,10 +59,21 @@
     }
 
     /// A target begins to run a request.
-    /// @param path with the query
-    void on_run(const std::string& id, const std::string& path)
+    void on_run(const standin::platform_target::arrival& seen)
     {
-        requests_[id].on_run(path, world_.caller().loop().now());
+        caller_request request;
+        request.id = seen.id;
+        const std::string difference = contents_[seen.id].difference(
+            content_of(seen.method, seen.path, seen.body));
+        require(difference.empty(), request, difference);
+        requests_[seen.id].on_run(seen.path, world_.caller().loop().now());
+    }
+
+    /// The connection of a request ends with the answer to one in front of it:
+    /// the server must not read the request.
+    void on_not_read(const caller_request& request)
+    {
+        requests_[request.id].on_refused(request.path);
     }
 
     /// A VM was started or has resumed: it knows nothing of what targets said.
@@ -269,7 +282,8 @@
 
     gateway_world& world_;
     time_point began_;
-    std::map<std::string, sent_request> sent_; ///< By request id.
+    std::map<std::string, sent_request> sent_;      ///< By request id.
+    std::map<std::string, sent_contents> contents_; ///< By request id.
     std::map<target_and_vm, stated_pause> pauses_;
     std::map<target_and_vm, time_point> told_leaving_;
     std::map<std::string, time_point> restarted_; ///< By target.
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -186,6 +186,13 @@
     void add_organisation(const std::string& name, double rate_per_s,
                           double burst);
 
+    /// @brief Adds a service with a route `/name/` that is not idempotent, from
+    /// the next version on.
+    void add_order_service(std::string name)
+    {
+        order_services_.push_back(std::move(name));
+    }
+
     /// @brief Sets the timeout of orders from the next version on.
     void set_order_timeout(std::chrono::milliseconds value)
     {
@@ -238,6 +245,7 @@
     std::string gateway_program_ = "siskinflow_gateway";
     std::vector<std::string> keys_ = {"key-of-acme"};
     std::vector<nlohmann::json> other_organisations_;
+    std::vector<std::string> order_services_;
     std::chrono::milliseconds order_timeout_{3000};
     std::size_t max_body_bytes_ = 65536;
     unsigned version_ = 0;
