--- a/tests/crowd/gateway_crowd_test.cpp
+++ b/tests/crowd/gateway_crowd_test.cpp
@@ -64,6 +64,18 @@
     return length + std::string(size, 'x') + "\r\n";
 }
 
+/// Bodies of 1 MB without their last block, on more connections than the
+/// machine bears.
+crowd::plan many_unfinished_bodies()
+{
+    crowd::plan out;
+    out.clients = 1200;
+    out.head = body_head(mebibyte);
+    out.block = std::string(block_bytes, 'x');
+    out.blocks = mebibyte / block_bytes - 1;
+    return out;
+}
+
 /// Leaves out flags that the program does not know.
 std::vector<std::string> known(const std::vector<std::string>& flags)
 {
@@ -303,12 +315,7 @@
 // Guards against bytes that wait unread in the kernel, which no account has.
 Test(gateway_crowd, bodies_that_stop_short_on_many_connections)
 {
-    constexpr std::size_t body = mebibyte;
-    crowd::plan plan;
-    plan.clients = 1200;
-    plan.head = body_head(body);
-    plan.block = std::string(block_bytes, 'x');
-    plan.blocks = body / block_bytes - 1;
+    crowd::plan plan = many_unfinished_bodies();
     plan.tail = std::string(block_bytes - 1024, 'x');
     crowded_gateway(0, 2000).survive(plan);
 }
@@ -317,12 +324,7 @@
 // which count as its memory like those of the others.
 Test(gateway_crowd, bodies_on_connections_that_are_not_accepted)
 {
-    constexpr std::size_t body = mebibyte;
-    crowd::plan plan;
-    plan.clients = 1200;
-    plan.head = body_head(body);
-    plan.block = std::string(block_bytes, 'x');
-    plan.blocks = body / block_bytes - 1;
+    const crowd::plan plan = many_unfinished_bodies();
     for (const auto port : {&gateway_ports::requests, &gateway_ports::directory,
                             &gateway_ports::readiness, &gateway_ports::metrics})
     {
