Keep what was sent and what ran of a soak's request in one record

sent_contents was a second record by request id beside request_record. The lookups of the organisation over its rate get a query of their own too.

--- a/tests/soak/caller_load.hpp
+++ b/tests/soak/caller_load.hpp
@@ -111,6 +111,7 @@
         }
         caller_request out;
         out.id = "look-burst-" + std::to_string(++burst_number_);
+        out.path += "?of=" + out.id;
         out.key = key_over_rate;
         out.object = std::to_string(burst_random_() % 20);
         out.patience = std::chrono::milliseconds(2000);
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "gateway_world.hpp"
-#include "request_content.hpp"
 #include "request_record.hpp"
 
 #include <iostream>
@@ -51,10 +50,11 @@
     void on_sent(const caller_request& request, std::size_t vm, time_point now)
     {
         sent_[request.id] = {vm, now};
-        contents_[request.id].add(request);
+        request_record& record = requests_[request.id];
+        record.on_sent(content_of(request.method, request.path, request.body));
         if (request.method == "POST")
         {
-            requests_[request.id].set_runs_once_at_most();
+            record.set_runs_once_at_most();
         }
     }
 
@@ -63,10 +63,10 @@
     {
         caller_request request;
         request.id = seen.id;
-        const std::string difference = contents_[seen.id].difference(
-            content_of(seen.method, seen.path, seen.body));
+        const std::string difference = requests_[seen.id].on_run(
+            content_of(seen.method, seen.path, seen.body),
+            world_.caller().loop().now());
         require(difference.empty(), request, difference);
-        requests_[seen.id].on_run(seen.path, world_.caller().loop().now());
     }
 
     /// The connection of a request ends with the answer to one in front of it:
@@ -282,8 +282,7 @@
 
     gateway_world& world_;
     time_point began_;
-    std::map<std::string, sent_request> sent_;      ///< By request id.
-    std::map<std::string, sent_contents> contents_; ///< By request id.
+    std::map<std::string, sent_request> sent_; ///< By request id.
     std::map<target_and_vm, stated_pause> pauses_;
     std::map<target_and_vm, time_point> told_leaving_;
     std::map<std::string, time_point> restarted_; ///< By target.
--- a/tests/soak/request_content.hpp
+++ b/tests/soak/request_content.hpp
@@ -1,15 +1,12 @@
 /// @file
-/// @brief What the callers of a soak send, and whether it is what runs.
+/// @brief What the callers of a soak send.
 #pragma once
 
-#include "gateway_world.hpp"
-
 #include <xxhash.h>
 
 #include <cstdint>
 #include <random>
 #include <string>
-#include <vector>
 
 namespace soak
 {
@@ -46,41 +43,4 @@
     return out;
 }
 
-/// @brief What was sent under one request id.
-class sent_contents
-{
-public:
-    void add(const caller_request& request)
-    {
-        sent_.push_back(content_of(request.method, request.path, request.body));
-    }
-
-    /// @brief How a run differs from all that was sent; empty if it does not.
-    std::string difference(const request_content& run) const
-    {
-        std::string out = "ran and was never sent";
-        for (const request_content& sent : sent_)
-        {
-            if (sent == run)
-            {
-                return {};
-            }
-            if (sent.path == run.path)
-            {
-                out = sent.method != run.method
-                          ? "ran with another method than was sent"
-                          : "ran with a body of " +
-                                std::to_string(run.body_bytes) +
-                                " bytes, not the one of " +
-                                std::to_string(sent.body_bytes) +
-                                " bytes that was sent";
-            }
-        }
-        return out;
-    }
-
-private:
-    std::vector<request_content> sent_;
-};
-
 } // namespace soak
--- a/tests/soak/request_record.hpp
+++ b/tests/soak/request_record.hpp
@@ -2,10 +2,12 @@
 /// @brief Sends and runs of the requests of a soak.
 #pragma once
 
+#include "request_content.hpp"
 #include <siskinflow/core/clock.hpp>
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace soak
@@ -28,10 +30,17 @@
         return runs_once_at_most_;
     }
 
-    void on_run(const std::string& path, siskinflow::time_point now)
+    void on_sent(request_content content)
     {
-        ++runs_[path];
+        sent_.push_back(std::move(content));
+    }
+
+    /// @return how the run differs from all sends; empty if it does not
+    std::string on_run(const request_content& run, siskinflow::time_point now)
+    {
+        ++runs_[run.path];
         last_run_ = now;
+        return difference(run);
     }
 
     /// @brief Begin of the last run.
@@ -69,8 +78,32 @@
     }
 
 private:
+    std::string difference(const request_content& run) const
+    {
+        std::string out = "ran and was never sent";
+        for (const request_content& sent : sent_)
+        {
+            if (sent == run)
+            {
+                return {};
+            }
+            if (sent.path == run.path)
+            {
+                out = sent.method != run.method
+                          ? "ran with another method than was sent"
+                          : "ran with a body of " +
+                                std::to_string(run.body_bytes) +
+                                " bytes, not the one of " +
+                                std::to_string(sent.body_bytes) +
+                                " bytes that was sent";
+            }
+        }
+        return out;
+    }
+
     bool runs_once_at_most_ = false;
     siskinflow::time_point last_run_{};
+    std::vector<request_content> sent_;
     std::map<std::string, int> runs_;  ///< By path.
     std::vector<std::string> refused_; ///< Paths.
 };
