--- a/src/net/server_connections.cpp
+++ b/src/net/server_connections.cpp
@@ -101,9 +101,8 @@
     {
         // The answer fits into an empty buffer of the kernel. It arrives unless
         // the caller's bytes meet the closed connection first.
-        [[maybe_unused]] const auto written =
-            ::send(h2o_socket_get_fd(socket), over_limit_answer.data(),
-                   over_limit_answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        (void)::send(h2o_socket_get_fd(socket), over_limit_answer.data(),
+                     over_limit_answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         h2o_socket_close(socket);
         return;
     }
