--- a/review/12/case.cpp
+++ b/review/13/case.cpp
@@ -19,13 +19,34 @@
 constexpr int order_callers = 4;
 constexpr int order_targets = 4;
 constexpr unsigned slots = 6;
+constexpr auto byte_interval = 5s;
 constexpr auto calm_time = 4s;
 constexpr auto crowd_time = 25s;
 
 std::atomic<bool> done{false};
 std::atomic<int> connected{0};
 
-/// Sends a body up to its last bytes, waits as long as the gateway keeps the
+/// Sends a byte now and then until the gateway answers or closes.
+void stay_open(connection& link)
+{
+    std::string answer;
+    time_point next_byte = steady::now() + byte_interval;
+    while (!done)
+    {
+        const long size = link.read_some(answer, 4096, 200ms);
+        if (size == 0 || !answer.empty())
+        {
+            return;
+        }
+        if (steady::now() >= next_byte)
+        {
+            next_byte += byte_interval;
+            (void)link.write("c");
+        }
+    }
+}
+
+/// Sends a body up to its last bytes, stays as long as the gateway keeps the
 /// connection, and comes back a second later.
 void stay(const gateway& vm, int number)
 {
@@ -42,15 +63,7 @@
                        std::string(body_bytes - missing_bytes, 'c')))
         {
             ++connected;
-            std::string answer;
-            while (!done)
-            {
-                const long size = link.read_some(answer, 4096, 200ms);
-                if (size == 0 || !answer.empty())
-                {
-                    break;
-                }
-            }
+            stay_open(link);
             --connected;
         }
         link.close();
