--- a/review/stand-ins-3/world.cpp
+++ b/review/stand-ins-3/world.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -69,21 +70,27 @@
     return ::poll(&entry, 1, static_cast<int>(patience.count())) > 0;
 }
 
-/// A port that nothing listens on.
+/// A port that nothing listens on, outside of the range from which the system
+/// chooses, so that no other connection takes it meanwhile.
 std::uint16_t free_port()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0, {});
-    socklen_t length = sizeof(address);
-    std::uint16_t out = 0;
-    if (::bind(descriptor, native(address), length) == 0 &&
-        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address),
-                      &length) == 0)
+    constexpr int first = 12000;
+    constexpr int count = 18000;
+    static std::mt19937 random{std::random_device()()};
+    while (true)
     {
-        out = ntohs(address.sin_port);
+        const auto port = static_cast<std::uint16_t>(
+            first + static_cast<int>(random() % count));
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port, {});
+        const bool is_free =
+            ::bind(descriptor, native(address), sizeof(address)) == 0;
+        ::close(descriptor);
+        if (is_free)
+        {
+            return port;
+        }
     }
-    ::close(descriptor);
-    return out;
 }
 
 std::string encode_base64(std::string_view bytes)
