Log why a watch was given up and how much of its answer had arrived

The line watch_broken named the same reason for a watch whose answer was due and for one replaced because another VM knows a later change, and did not tell a lost answer from one that is arriving. It now has the reason, the age of the watch and the bytes received.

--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -120,6 +120,12 @@
         return sent();
     }
 
+    /// @brief Bytes of the answer that have arrived so far, with its head.
+    virtual std::size_t received_bytes() const
+    {
+        return 0;
+    }
+
     /// @brief Where the answer was read.
     /// @return a position that is not conclusive before the head has arrived
     virtual answer_position position() const
--- a/include/siskinflow/store/change_log.hpp
+++ b/include/siskinflow/store/change_log.hpp
@@ -72,7 +72,7 @@
     void on_listed() override;
     void on_unavailable(const error& reason) override;
     void on_available(duration outage) override;
-    void on_watch_replaced(duration unconfirmed) override;
+    void on_watch_replaced(const replaced_watch& watch) override;
 
     /// @brief Sets the callback for when changes have been confirmed.
     void on_recorded(std::function<void()> callback)
--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -72,6 +72,14 @@
     virtual void await_changes(std::string prefix, store_position after,
                                duration wait, callback<store_page> done) = 0;
 
+    /// @brief Bytes of the answer to the running watch of a prefix that have
+    /// arrived so far; 0 if none runs.
+    virtual std::size_t
+    watch_bytes_received(const std::string& /*prefix*/) const
+    {
+        return 0;
+    }
+
     /// @brief Highest era that an answer of the store has shown.
     virtual std::uint64_t era() const
     {
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -6,14 +6,36 @@
 #include <siskinflow/core/timer_queue.hpp>
 #include <siskinflow/store/lease_store.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace siskinflow
 {
 
+/// @brief Why a watch was given up.
+enum class watch_end : std::uint8_t
+{
+    unconfirmed, ///< Its answer was due, and nobody has confirmed the state.
+    behind,      ///< Another VM knows a later change.
+};
+
+/// @brief Name of a reason in snake_case, "unknown" if undefined.
+std::string_view name(watch_end value) noexcept;
+
+/// @brief A watch that was given up.
+struct replaced_watch
+{
+    watch_end reason = watch_end::unconfirmed;
+    duration unconfirmed{0}; ///< Since the last confirmation.
+    duration age{0};         ///< Since the watch was sent.
+    std::size_t bytes_received = 0; ///< Of its answer.
+};
+
 /// @brief Receives what changed in a mirrored prefix.
 class mirror_listener
 {
@@ -39,9 +61,8 @@
     /// @brief All keys of a listing have been reported.
     virtual void on_listed() = 0;
 
-    /// @brief A watch was given up, because its answer may have been lost.
-    /// @param unconfirmed time since the last confirmation
-    virtual void on_watch_replaced(duration /*unconfirmed*/) {}
+    /// @brief A watch was given up.
+    virtual void on_watch_replaced(const replaced_watch& /*watch*/) {}
 
     /// @brief A call failed after one that succeeded.
     virtual void on_unavailable(const error& reason) = 0;
--- a/src/gateway/relayed_store.cpp
+++ b/src/gateway/relayed_store.cpp
@@ -76,6 +76,7 @@
     std::map<std::string, store_position> known_positions; ///< By prefix.
     std::uint64_t expected_era = 0; ///< Known to another VM.
     std::map<std::uint64_t, std::shared_ptr<net::http_call>> pending_calls;
+    std::map<std::string, std::uint64_t> watches; ///< Call ids, by prefix.
     std::uint64_t last_call_id = 0;
 
     std::optional<net::endpoint> usable_relay() const
@@ -104,6 +105,10 @@
         request.timeout =
             std::chrono::milliseconds(message.wait_ms) + relay_margin;
         const std::uint64_t id = ++last_call_id;
+        if (!message.list)
+        {
+            watches[message.prefix] = id;
+        }
         pending_calls[id] = net::fetch(
             caller, std::move(request), max_page_bytes,
             [weak = weak_from_this(), id,
@@ -222,6 +227,18 @@
         std::move(done));
 }
 
+std::size_t
+relayed_store::watch_bytes_received(const std::string& prefix) const
+{
+    const auto watch = impl_->watches.find(prefix);
+    const auto call = watch == impl_->watches.end()
+                          ? impl_->pending_calls.end()
+                          : impl_->pending_calls.find(watch->second);
+    return call == impl_->pending_calls.end()
+               ? impl_->direct.watch_bytes_received(prefix)
+               : call->second->received_bytes();
+}
+
 std::uint64_t relayed_store::era() const
 {
     return impl_->direct.era();
--- a/src/gateway/state_feed.cpp
+++ b/src/gateway/state_feed.cpp
@@ -39,13 +39,14 @@
                          .count()}});
 }
 
-void logging_listener::on_watch_replaced(duration unconfirmed)
+void logging_listener::on_watch_replaced(const replaced_watch& watch)
 {
-    state_.log.write(
-        event_id::watch_broken,
-        {{"watched", operation_},
-         {"reason",
-          "not confirmed for " + std::to_string(to_ms(unconfirmed)) + " ms"}});
+    state_.log.write(event_id::watch_broken,
+                     {{"watched", operation_},
+                      {"reason", siskinflow::name(watch.reason)},
+                      {"unconfirmed_ms", to_ms(watch.unconfirmed)},
+                      {"age_ms", to_ms(watch.age)},
+                      {"bytes_received", watch.bytes_received}});
 }
 
 void logging_listener::on_new_era(std::uint64_t era)
--- a/src/gateway/state_feed.hpp
+++ b/src/gateway/state_feed.hpp
@@ -26,7 +26,7 @@
 
     void on_unavailable(const error& reason) override;
     void on_available(duration down) override;
-    void on_watch_replaced(duration unconfirmed) override;
+    void on_watch_replaced(const replaced_watch& watch) override;
     void on_new_era(std::uint64_t era) override;
     void on_listed() override {}
 
--- a/src/net/client_call.hpp
+++ b/src/net/client_call.hpp
@@ -45,6 +45,10 @@
         return sent_;
     }
     bool fully_sent() const override;
+    std::size_t received_bytes() const override
+    {
+        return received_bytes_;
+    }
     answer_position position() const override
     {
         return position_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -68,6 +68,10 @@
     {
         return call_->fully_sent();
     }
+    std::size_t received_bytes() const override
+    {
+        return call_->received_bytes();
+    }
     answer_position position() const override
     {
         return call_->position();
--- a/src/store/change_log.cpp
+++ b/src/store/change_log.cpp
@@ -130,9 +130,9 @@
     next_.on_available(outage);
 }
 
-void recording_listener::on_watch_replaced(duration unconfirmed)
+void recording_listener::on_watch_replaced(const replaced_watch& watch)
 {
-    next_.on_watch_replaced(unconfirmed);
+    next_.on_watch_replaced(watch);
 }
 
 } // namespace siskinflow
--- a/src/store/mirror_answers.cpp
+++ b/src/store/mirror_answers.cpp
@@ -1,6 +1,9 @@
 #include "store_mirror_impl.hpp"
 
+#include <siskinflow/core/enum_name.hpp>
+
 #include <algorithm>
+#include <array>
 #include <set>
 #include <vector>
 
@@ -10,6 +13,8 @@
 namespace
 {
 
+constexpr std::array<std::string_view, 2> watch_end_names{"unconfirmed",
+                                                          "behind"};
 /// Time after which a running watch should have told what another VM knows.
 constexpr duration watch_delivery_time = std::chrono::milliseconds(300);
 /// The shortest wait that the platform's store accepts.
@@ -26,6 +31,11 @@
 
 } // namespace
 
+std::string_view name(watch_end value) noexcept
+{
+    return enum_name(watch_end_names, value);
+}
+
 void store_mirror::impl::list_again(bool history_dropped)
 {
     ++current_watch; // What it answers is of no use any more.
@@ -180,7 +190,7 @@
 
 void store_mirror::impl::replace_watch()
 {
-    listener->on_watch_replaced(time.now() - confirmed_at);
+    report_replaced_watch(watch_end::unconfirmed);
     if (++replaced_watches < max_replaced_watches)
     {
         watch_changes();
@@ -190,6 +200,13 @@
     list_again(false);
 }
 
+void store_mirror::impl::report_replaced_watch(watch_end reason)
+{
+    listener->on_watch_replaced({reason, time.now() - confirmed_at,
+                                 time.now() - request_time,
+                                 source.watch_bytes_received(prefix)});
+}
+
 bool store_mirror::impl::is_early(const store_page& page) const
 {
     return page.entries.empty() &&
@@ -259,7 +276,7 @@
     const bool watch_is_older = watching && request_time < heard_at;
     if (behind && watch_is_older)
     {
-        listener->on_watch_replaced(time.now() - confirmed_at);
+        report_replaced_watch(watch_end::behind);
         watch_changes_for(min_watch_wait);
     }
 }
--- a/src/store/store_mirror_impl.hpp
+++ b/src/store/store_mirror_impl.hpp
@@ -114,6 +114,8 @@
     /// Makes a further call in place of a watch that was not answered.
     void replace_watch();
 
+    void report_replaced_watch(watch_end reason);
+
     /// Whether a watch has ended without a change and before its time; asking
     /// again at once could go on without end.
     bool is_early(const store_page& page) const;
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -30,7 +30,8 @@
                                              "source"};
 constexpr std::string_view store_down_fields[] = {"operation", "reason"};
 constexpr std::string_view store_up_fields[] = {"down_ms"};
-constexpr std::string_view watch_fields[] = {"watched", "reason"};
+constexpr std::string_view watch_fields[] = {
+    "watched", "reason", "unconfirmed_ms", "age_ms", "bytes_received"};
 constexpr std::string_view era_begun_fields[] = {"era"};
 constexpr std::string_view old_answer_fields[] = {"era", "known"};
 constexpr std::string_view era_listed_fields[] = {"listed", "era"};
