Keep a watch while its answer arrives

Withdrawn keys worked, and proper requests with new keys got 401.

Cause: each confirmation of a later version by another VM replaced the running watch 0.3 s later, although its answer of about 1 MB was arriving, and the next version was confirmed before the next watch could end.

A mirror now has one call in progress. A watch is kept while its answer arrives; what takes its place asks for less (a listing) or gets twice the time. A listing ends by itself only. The listing brings the newest version in one entry, so its length does not grow with the time missed.

The test ignores_listings_that_are_out_of_date started a watch and a second listing beside a listing; no such call is made any more, and the test now requires that.

--- a/include/siskinflow/store/lease_store.hpp
+++ b/include/siskinflow/store/lease_store.hpp
@@ -72,6 +72,10 @@
     virtual void await_changes(std::string prefix, store_position after,
                                duration wait, callback<store_page> done) = 0;
 
+    /// @brief Gives up the running watch of a prefix; it ends without a
+    /// callback.
+    virtual void cancel_watch(const std::string& /*prefix*/) {}
+
     /// @brief Bytes of the answer to the running watch of a prefix that have
     /// arrived so far; 0 if none runs.
     virtual std::size_t
--- a/include/siskinflow/store/store_mirror.hpp
+++ b/include/siskinflow/store/store_mirror.hpp
@@ -22,6 +22,7 @@
 {
     unconfirmed, ///< Its answer was due, and nobody has confirmed the state.
     behind,      ///< Another VM knows a later change.
+    too_long,    ///< Its answer is longer or slower than a listing.
 };
 
 /// @brief Name of a reason in snake_case, "unknown" if undefined.
@@ -31,8 +32,8 @@
 struct replaced_watch
 {
     watch_end reason = watch_end::unconfirmed;
-    duration unconfirmed{0}; ///< Since the last confirmation.
-    duration age{0};         ///< Since the watch was sent.
+    duration unconfirmed{0};        ///< Since the last confirmation.
+    duration age{0};                ///< Since the watch was sent.
     std::size_t bytes_received = 0; ///< Of its answer.
 };
 
@@ -106,6 +107,10 @@
 /// A mirror that others tell of their confirmations leaves its watch waiting
 /// for long. Without them, its watches are short enough to confirm by
 /// themselves that nothing has changed.
+///
+/// It has one call in progress at most. A call whose answer arrives is not
+/// given up for another one, except for a listing that is shorter; a listing
+/// ends by itself only.
 class store_mirror
 {
 public:
@@ -124,12 +129,13 @@
     /// @brief Starts listing the prefix.
     void start();
 
-    /// @brief Replaces the running watch. A store that was down may have lost
-    /// a watch that still waits on an open connection.
+    /// @brief Replaces the running watch unless its answer is arriving. A store
+    /// that was down may have lost a watch that still waits on an open
+    /// connection.
     void refresh();
 
     /// @brief Asks for the store's present revision, which the running watch
-    /// tells only with the next change.
+    /// tells only with the next change. Does nothing while an answer is due.
     void catch_up();
 
     /// @brief Makes the watches short, so that the other VMs can be told often
--- a/src/gateway/relayed_store.cpp
+++ b/src/gateway/relayed_store.cpp
@@ -58,6 +58,12 @@
 
 } // namespace
 
+/// Where a watch waits for its answer.
+struct running_watch
+{
+    std::uint64_t relay_call = 0; ///< 0: the store itself was asked.
+};
+
 struct relayed_store::impl : std::enable_shared_from_this<impl>
 {
     impl(net::event_loop& loop, net::http_caller& caller, prefix_reader& direct,
@@ -76,7 +82,7 @@
     std::map<std::string, store_position> known_positions; ///< By prefix.
     std::uint64_t expected_era = 0; ///< Known to another VM.
     std::map<std::uint64_t, std::shared_ptr<net::http_call>> pending_calls;
-    std::map<std::string, std::uint64_t> watches; ///< Call ids, by prefix.
+    std::map<std::string, running_watch> watches; ///< By prefix.
     std::uint64_t last_call_id = 0;
 
     std::optional<net::endpoint> usable_relay() const
@@ -107,7 +113,7 @@
         const std::uint64_t id = ++last_call_id;
         if (!message.list)
         {
-            watches[message.prefix] = id;
+            watches[message.prefix] = {id};
         }
         pending_calls[id] = net::fetch(
             caller, std::move(request), max_page_bytes,
@@ -159,12 +165,27 @@
         };
     }
 
+    callback<store_page> ending_watch(const std::string& prefix,
+                                      callback<store_page> done)
+    {
+        return [self = shared_from_this(), prefix,
+                done = std::move(done)](result<store_page> page)
+        {
+            self->watches.erase(prefix);
+            done(std::move(page));
+        };
+    }
+
     /// Asks the relay, and with `ask_store` the store if that fails.
     void read(const store_changes_request& message,
               std::function<void(callback<store_page>)> ask_store,
               callback<store_page> done)
     {
         done = noting_position(message.prefix, std::move(done));
+        if (!message.list)
+        {
+            done = ending_watch(message.prefix, std::move(done));
+        }
         const auto relay = usable_relay();
         if (!relay)
         {
@@ -214,6 +235,7 @@
 void relayed_store::await_changes(std::string prefix, store_position after,
                                   duration wait, callback<store_page> done)
 {
+    cancel_watch(prefix);
     const auto wait_ms = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(
             std::min(wait, relay_wait))
@@ -221,22 +243,43 @@
     const store_changes_request message{prefix, false, after, wait_ms};
     impl_->read(
         message,
-        [&direct = impl_->direct, prefix, after,
-         wait](callback<store_page> on_page)
-        { direct.await_changes(prefix, after, wait, std::move(on_page)); },
+        [self = impl_.get(), prefix, after, wait](callback<store_page> on_page)
+        {
+            self->watches[prefix] = {};
+            self->direct.await_changes(prefix, after, wait, std::move(on_page));
+        },
         std::move(done));
 }
 
-std::size_t
-relayed_store::watch_bytes_received(const std::string& prefix) const
+void relayed_store::cancel_watch(const std::string& prefix)
 {
     const auto watch = impl_->watches.find(prefix);
-    const auto call = watch == impl_->watches.end()
-                          ? impl_->pending_calls.end()
-                          : impl_->pending_calls.find(watch->second);
-    return call == impl_->pending_calls.end()
-               ? impl_->direct.watch_bytes_received(prefix)
-               : call->second->received_bytes();
+    if (watch == impl_->watches.end())
+    {
+        return;
+    }
+    if (watch->second.relay_call == 0)
+    {
+        impl_->direct.cancel_watch(prefix);
+    }
+    impl_->pending_calls.erase(watch->second.relay_call);
+    impl_->watches.erase(watch);
+}
+
+std::size_t relayed_store::watch_bytes_received(const std::string& prefix) const
+{
+    const auto watch = impl_->watches.find(prefix);
+    if (watch == impl_->watches.end())
+    {
+        return 0;
+    }
+    if (watch->second.relay_call == 0)
+    {
+        return impl_->direct.watch_bytes_received(prefix);
+    }
+    const auto call = impl_->pending_calls.find(watch->second.relay_call);
+    return call == impl_->pending_calls.end() ? 0
+                                              : call->second->received_bytes();
 }
 
 std::uint64_t relayed_store::era() const
--- a/src/gateway/relayed_store.hpp
+++ b/src/gateway/relayed_store.hpp
@@ -42,8 +42,8 @@
               callback<store_page> done) override;
     void await_changes(std::string prefix, store_position after, duration wait,
                        callback<store_page> done) override;
-    std::size_t
-    watch_bytes_received(const std::string& prefix) const override;
+    void cancel_watch(const std::string& prefix) override;
+    std::size_t watch_bytes_received(const std::string& prefix) const override;
     std::uint64_t era() const override;
     void
     on_new_era(const std::function<void(std::uint64_t)>& callback) override;
--- a/src/store/mirror_answers.cpp
+++ b/src/store/mirror_answers.cpp
@@ -1,9 +1,6 @@
 #include "store_mirror_impl.hpp"
 
-#include <siskinflow/core/enum_name.hpp>
-
 #include <algorithm>
-#include <array>
 #include <set>
 #include <vector>
 
@@ -13,33 +10,25 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 2> watch_end_names{"unconfirmed",
-                                                          "behind"};
-/// Time after which a running watch should have told what another VM knows.
-constexpr duration watch_delivery_time = std::chrono::milliseconds(300);
-/// The shortest wait that the platform's store accepts.
-constexpr duration min_watch_wait = std::chrono::milliseconds(1);
 /// An empty answer to a watch before this time and before the end of its wait
 /// counts as a failure.
 constexpr duration early_answer = std::chrono::milliseconds(400);
 /// After an outage of this length the prefix is listed: a listing is bounded by
 /// the state, the answer to a watch only by what has changed meanwhile.
 constexpr duration min_outage_to_list = std::chrono::seconds(1);
-/// Watches in a row without an answer after which the prefix is listed: their
-/// answer may be too long for the link.
-constexpr unsigned max_replaced_watches = 2;
-
-} // namespace
 
-std::string_view name(watch_end value) noexcept
+/// Bytes that an entry takes in an answer of the store: its value as base64
+/// text, its key and the fields around them.
+std::size_t bytes_in_answer(const store_change& entry)
 {
-    return enum_name(watch_end_names, value);
+    constexpr std::size_t field_bytes = 80;
+    return entry.key.size() + entry.value.size() * 4 / 3 + field_bytes;
 }
 
+} // namespace
+
 void store_mirror::impl::list_again(bool history_dropped)
 {
-    ++current_watch; // What it answers is of no use any more.
-    watching = false;
     listing_due = true;
     const duration pause = pacing.relist_pause(history_dropped);
     if (pause == duration::zero())
@@ -104,6 +93,7 @@
     begin_era_of(page.value());
     remove_missing(page.value());
     apply(page.value());
+    on_answered(request_time);
     // Removals that the listing does not show were made before it.
     last_change = std::max(last_change, page.value().position);
     confirm(request_time, page.value().relayed);
@@ -152,10 +142,12 @@
         on_watch_failed(page.error());
         return;
     }
-    replaced_watches = 0;
+    // A change that arrives before a listing is made takes its place.
+    listing_due = listing_due && era_pending;
     pacing.on_watch_success();
     on_success();
     apply(page.value());
+    on_answered(request_time);
     if (!page.value().relayed)
     {
         confirm(confirmed_time(page.value()), false);
@@ -168,7 +160,7 @@
     }
     schedule(page.value().relayed ? options.relayed_batch_delay
                                   : options.batch_delay,
-             &impl::watch_changes);
+             &impl::watch_if_idle);
 }
 
 void store_mirror::impl::on_watch_failed(const error& reason)
@@ -180,7 +172,7 @@
     }
     listing_due = listing_due || out_for_long();
     retry_later(reason,
-                listing_due ? &impl::list_if_due : &impl::watch_changes);
+                listing_due ? &impl::list_if_due : &impl::watch_if_idle);
 }
 
 bool store_mirror::impl::out_for_long() const
@@ -188,25 +180,6 @@
     return failing && time.now() - failing_since >= min_outage_to_list;
 }
 
-void store_mirror::impl::replace_watch()
-{
-    report_replaced_watch(watch_end::unconfirmed);
-    if (++replaced_watches < max_replaced_watches)
-    {
-        watch_changes();
-        return;
-    }
-    replaced_watches = 0;
-    list_again(false);
-}
-
-void store_mirror::impl::report_replaced_watch(watch_end reason)
-{
-    listener->on_watch_replaced({reason, time.now() - confirmed_at,
-                                 time.now() - request_time,
-                                 source.watch_bytes_received(prefix)});
-}
-
 bool store_mirror::impl::is_early(const store_page& page) const
 {
     return page.entries.empty() &&
@@ -250,34 +223,7 @@
     }
     if (confirmation.last_change > peers_last_change)
     {
-        peers_last_change = confirmation.last_change;
-        catch_up_later(time.now());
-    }
-}
-
-void store_mirror::impl::catch_up_later(time_point heard_at)
-{
-    timers.schedule(heard_at + watch_delivery_time,
-                    [weak = weak_from_this(), heard_at]
-                    {
-                        const auto self = weak.lock();
-                        if (self != nullptr && self->listener != nullptr)
-                        {
-                            self->catch_up_if_behind(heard_at);
-                        }
-                    });
-}
-
-void store_mirror::impl::catch_up_if_behind(time_point heard_at)
-{
-    const bool behind =
-        position < peers_last_change && position.era == peers_last_change.era;
-    // A later watch would have told the change at once.
-    const bool watch_is_older = watching && request_time < heard_at;
-    if (behind && watch_is_older)
-    {
-        report_replaced_watch(watch_end::behind);
-        watch_changes_for(min_watch_wait);
+        on_later_change(confirmation.last_change);
     }
 }
 
@@ -289,10 +235,9 @@
         listed_keys.insert(entry.key);
     }
     std::vector<std::string> removed_keys;
-    for (const auto& [key, last_position] : known_positions)
+    for (const auto& [key, known] : known_keys)
     {
-        // A watch may have brought it while the listing was read.
-        const bool is_later = last_position > page.position;
+        const bool is_later = known.position > page.position;
         if (listed_keys.count(key) == 0 && !is_later)
         {
             removed_keys.push_back(key);
@@ -300,7 +245,7 @@
     }
     for (const std::string& key : removed_keys)
     {
-        known_positions.erase(key);
+        forget(key);
         listener->on_change({key, {}, page.position, true});
     }
 }
@@ -309,22 +254,30 @@
 {
     for (const store_change& entry : page.entries)
     {
-        store_position& last_position = known_positions[entry.key];
-        if (entry.position <= last_position)
+        known_key& known = known_keys[entry.key];
+        if (entry.position <= known.position)
         {
             continue;
         }
-        last_position = entry.position;
+        known_bytes += bytes_in_answer(entry) - known.bytes;
+        known = {entry.position, bytes_in_answer(entry)};
         last_change = std::max(last_change, entry.position);
         listener->on_change(entry);
         if (entry.removed)
         {
-            known_positions.erase(entry.key);
+            forget(entry.key);
         }
     }
     position = std::max(position, page.position);
 }
 
+void store_mirror::impl::forget(const std::string& key)
+{
+    const auto known = known_keys.find(key);
+    known_bytes -= known->second.bytes;
+    known_keys.erase(known);
+}
+
 void store_mirror::impl::on_success()
 {
     if (failing)
--- a/src/store/store_mirror.cpp
+++ b/src/store/store_mirror.cpp
@@ -1,6 +1,7 @@
 #include "store_mirror_impl.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinflow
 {
@@ -35,11 +36,20 @@
         list();
         return;
     }
-    watch_changes();
+    if (watching)
+    {
+        supervise_watch();
+        return;
+    }
+    watch_if_idle();
 }
 
 void store_mirror::impl::list()
 {
+    if (listing)
+    {
+        return; // It ends by itself.
+    }
     listing_due = true;
     if (!take_call())
     {
@@ -47,6 +57,7 @@
     }
     listing_due = false;
     listing = true;
+    drop_watch();
     const std::uint64_t listing_id = ++current_listing;
     const std::uint64_t calls_before = source.list_calls(prefix);
     request_time = time.now();
@@ -81,11 +92,28 @@
     }
 }
 
+void store_mirror::impl::drop_watch()
+{
+    ++current_watch; // Its answer is of no use any more.
+    if (std::exchange(watching, false))
+    {
+        source.cancel_watch(prefix);
+    }
+}
+
 void store_mirror::impl::watch_changes()
 {
     watch_changes_for(next_wait());
 }
 
+void store_mirror::impl::watch_if_idle()
+{
+    if (!watching)
+    {
+        watch_changes();
+    }
+}
+
 duration store_mirror::impl::next_wait() const
 {
     constexpr int confirmations_per_limit = 2;
@@ -101,48 +129,24 @@
                          : std::min(options.max_watch_wait, own_wait);
 }
 
-void store_mirror::impl::check_watch_later(std::uint64_t watch_id)
-{
-    const duration limit = std::min(options.max_unconfirmed_time,
-                                    current_wait + watch_answer_time);
-    const time_point due = std::max(confirmed_at, request_time) + limit;
-    timers.schedule(due,
-                    [weak = weak_from_this(), watch_id, limit]
-                    {
-                        const auto self = weak.lock();
-                        if (self != nullptr && self->listener != nullptr)
-                        {
-                            self->check_watch(watch_id, limit);
-                        }
-                    });
-}
-
-void store_mirror::impl::check_watch(std::uint64_t watch_id, duration limit)
+void store_mirror::impl::watch_changes_for(duration wait)
 {
-    if (watch_id != current_watch || !watching)
-    {
-        return;
-    }
-    if (time.now() - std::max(confirmed_at, request_time) < limit)
+    // A watch from the position of an earlier era would mix the eras.
+    if (era_pending || listing || listing_due || !take_call())
     {
-        check_watch_later(watch_id);
         return;
     }
-    replace_watch();
+    send_watch(wait);
 }
 
-void store_mirror::impl::watch_changes_for(duration wait)
+void store_mirror::impl::send_watch(duration wait)
 {
-    // A watch from the position of an earlier era would mix the eras.
-    if (era_pending || listing_due || !take_call())
-    {
-        return;
-    }
     const std::uint64_t watch_id = ++current_watch;
     request_time = time.now();
     current_wait = wait;
     watching = true;
-    check_watch_later(watch_id);
+    bytes_received = 0;
+    check_watch_later();
     source.await_changes(
         prefix, position, wait,
         [self = shared_from_this(), watch_id](result<store_page> page)
@@ -201,11 +205,17 @@
 {
     // The watch may also have been lost while calls are failing, so `failing`
     // is not checked.
-    if (impl_->has_listed && impl_->out_for_long())
+    if (!impl_->has_listed)
     {
-        impl_->list_again(false);
+        return;
     }
-    else if (impl_->has_listed)
+    if (impl_->listing_due || impl_->out_for_long())
+    {
+        impl_->list();
+        return;
+    }
+    impl_->note_received_bytes();
+    if (!impl_->watching || impl_->bytes_received == 0)
     {
         impl_->watch_changes();
     }
@@ -213,7 +223,7 @@
 
 void store_mirror::catch_up()
 {
-    if (impl_->has_listed && !impl_->failing)
+    if (impl_->has_listed && !impl_->failing && !impl_->answer_may_be_due())
     {
         impl_->watch_changes_for(min_watch_wait);
     }
@@ -223,9 +233,9 @@
 {
     const bool begins = confirms && !impl_->confirms_for_others;
     impl_->confirms_for_others = confirms;
-    if (begins && impl_->watching)
+    if (begins)
     {
-        impl_->watch_changes();
+        impl_->check_watch_sooner();
     }
 }
 
--- a/tests/unit/gateway_store_test.cpp
+++ b/tests/unit/gateway_store_test.cpp
@@ -306,7 +306,7 @@
 }
 
 // Guards against a listing that arrives late and takes back what a later
-// listing or a watch has brought.
+// listing or a watch has brought: a mirror has one call in progress.
 Test(gateway_store, ignores_listings_that_are_out_of_date)
 {
     boot_clock time;
@@ -328,34 +328,47 @@
         }
         return reader.listings.size() == count;
     };
-    reader.answer_watch(0, history_dropped());
-    EXPECT(lists_again(2));
-    mirror.refresh();
-    section("two listings in flight",
+    section("a second answer to the same listing",
             [&]
             {
-                reader.answer_watch(1, history_dropped());
-                EXPECT(lists_again(3));
+                reader.answer_watch(0, history_dropped());
+                EXPECT(lists_again(2));
                 reader.answer_listing(
-                    2, store_page{{{"a/1", "new", {0, 5}, false},
+                    1, store_page{{{"a/1", "new", {0, 5}, false},
                                    {"a/2", "added", {0, 6}, false}},
                                   {0, 6}});
                 reader.answer_listing(
-                    1, store_page{{{"a/1", "old", {0, 1}, false}}, {0, 4}});
+                    0, store_page{{{"a/1", "old", {0, 1}, false}}, {0, 4}});
                 EXPECT(listener.values["a/1"] == "new");
                 EXPECT(listener.values.count("a/2") == 1);
             });
-    section("a watch that is answered while a listing is read",
+    section("nothing is asked while a listing is read",
             [&]
             {
-                reader.answer_watch(2, history_dropped());
-                EXPECT(lists_again(4));
+                reader.answer_watch(1, history_dropped());
+                EXPECT(lists_again(3));
+                const std::size_t watches = reader.watches.size();
                 mirror.refresh();
-                reader.answer_watch(
-                    3, store_page{{{"a/3", "later", {0, 9}, false}}, {0, 9}});
+                mirror.catch_up();
+                mirror.confirm_for_others(true);
+                mirror.on_peer_confirmation({{0, 9}, time.now()});
+                const time_point end = time.now() + 1s;
+                while (time.now() < end)
+                {
+                    loop.run_once(5ms);
+                }
+                EXPECT(reader.watches.size() == watches);
+                EXPECT(reader.listings.size() == 3);
                 reader.answer_listing(
-                    3, store_page{{{"a/1", "new", {0, 5}, false}}, {0, 8}});
+                    2, store_page{{{"a/1", "new", {0, 5}, false}}, {0, 8}});
                 EXPECT(listener.values.count("a/2") == 0);
+                EXPECT(reader.watches.size() == watches + 1);
+            });
+    section("the watch after it brings what came meanwhile",
+            [&]
+            {
+                reader.answer_watch(
+                    2, store_page{{{"a/3", "later", {0, 9}, false}}, {0, 9}});
                 EXPECT(listener.values.count("a/3") == 1);
             });
 }
