Let a listing end that takes longer than its timeout

A page of a listing, or an answer of a relay, had to arrive whole within 2 s and 0.4 s.

The time that a mirror gives a watch follows the time that the last answer took, so that a slow link does not cost two watches for each change.

Tests: store_slow_links/a_listing_ends_when_it_has_arrived failed before (the call ended after 0.2 s with 4 of 49 KB), an_answer_that_stalls_ends_its_call failed in the part 'a sound answer'.

--- a/include/siskinflow/net/http_client.hpp
+++ b/include/siskinflow/net/http_client.hpp
@@ -36,6 +36,17 @@
 /// @brief Whether the outcome proves that the peer never saw the request.
 bool never_sent(call_outcome outcome);
 
+/// @brief Time for an answer that goes on arriving when the timeout of its call
+/// has passed.
+struct slow_answer_time
+{
+    /// The call ends when fewer than `min_bytes` arrive in this time; 0 grants
+    /// no time beyond the timeout.
+    duration stall{0};
+    std::size_t min_bytes = 1024;
+    duration max_time = std::chrono::seconds(30); ///< For the whole call.
+};
+
 /// @brief A request to a peer.
 struct client_request
 {
@@ -57,6 +68,7 @@
     std::size_t max_body_bytes = 0;
     duration connect_timeout = std::chrono::seconds(1);
     duration timeout = std::chrono::seconds(10); ///< For the whole call.
+    slow_answer_time slow_answer;
     /// Time after which TCP keepalive probes detect a vanished peer, in whole
     /// seconds, at least 3; 0 sends no probes. For calls that wait long
     /// without receiving data.
--- a/src/gateway/relayed_store.cpp
+++ b/src/gateway/relayed_store.cpp
@@ -110,6 +110,7 @@
         request.connect_timeout = relay_connect_timeout;
         request.timeout =
             std::chrono::milliseconds(message.wait_ms) + relay_margin;
+        request.slow_answer.stall = relay_margin;
         const std::uint64_t id = ++last_call_id;
         if (!message.list)
         {
--- a/src/net/client_call.cpp
+++ b/src/net/client_call.cpp
@@ -41,14 +41,8 @@
 
 void client_call::start()
 {
-    deadline_timer_ =
-        owner_->loop.after(request_.timeout,
-                           [this]
-                           {
-                               cancel_native_call();
-                               end(sent_ ? call_outcome::timed_out
-                                         : call_outcome::connect_timed_out);
-                           });
+    started_at_ = owner_->loop.now();
+    end_at(started_at_ + request_.timeout);
     const auto address = to_socket_address(request_.peer);
     if (!address.has_value())
     {
@@ -79,6 +73,30 @@
                            });
 }
 
+void client_call::end_at(time_point due)
+{
+    deadline_timer_ =
+        owner_->loop.after(due - owner_->loop.now(), [this] { on_overdue(); });
+}
+
+void client_call::on_overdue()
+{
+    const slow_answer_time& allowed = request_.slow_answer;
+    const time_point now = owner_->loop.now();
+    const bool arrives =
+        allowed.stall > duration::zero() &&
+        received_bytes_ >= bytes_at_deadline_ + allowed.min_bytes &&
+        now + allowed.stall <= started_at_ + allowed.max_time;
+    if (arrives)
+    {
+        bytes_at_deadline_ = received_bytes_;
+        end_at(now + allowed.stall);
+        return;
+    }
+    cancel_native_call();
+    end(sent_ ? call_outcome::timed_out : call_outcome::connect_timed_out);
+}
+
 void client_call::cancel()
 {
     if (ended_)
--- a/src/net/client_call.hpp
+++ b/src/net/client_call.hpp
@@ -82,6 +82,8 @@
     void deliver_head(int status, const h2o_header_t* headers,
                       std::size_t count);
     void deliver_body(h2o_http1client_t* client);
+    void end_at(time_point due);
+    void on_overdue();
     void end(call_outcome outcome);
     void cancel_native_call();
     void close_after_next_pass();
@@ -110,6 +112,8 @@
     bool body_ends_on_close_ = false;  ///< No framing.
     const char* read_error_ = nullptr; ///< Null if none.
     std::size_t received_bytes_ = 0;
+    std::size_t bytes_at_deadline_ = 0; ///< Received when it last passed.
+    time_point started_at_{};
     std::size_t unread_bytes_ = 0; ///< Received, and left in h2o's buffer.
     std::size_t body_bytes_ = 0;
     bool sent_ = false;
--- a/src/store/mirror_supervision.cpp
+++ b/src/store/mirror_supervision.cpp
@@ -197,9 +197,21 @@
     check_watch_sooner();
 }
 
+std::optional<duration>
+store_mirror::impl::time_to_answer(time_point sent_at) const
+{
+    const bool was_due =
+        !has_listed || change_due_since || current_wait <= min_watch_wait;
+    if (!was_due)
+    {
+        return std::nullopt;
+    }
+    return time.now() - std::max(sent_at, change_due_since.value_or(sent_at));
+}
+
 void store_mirror::impl::on_answered(time_point sent_at)
 {
-    supervision.on_answered();
+    supervision.on_answered(time_to_answer(sent_at));
     if (!behind() || sent_at >= peers_last_change_at)
     {
         change_due_since.reset(); // The store has nothing later.
--- a/src/store/store_mirror_impl.hpp
+++ b/src/store/store_mirror_impl.hpp
@@ -145,6 +145,9 @@
 
     void on_later_change(store_position change);
 
+    /// Time from when an answer was due; empty if it was not known to be due.
+    std::optional<duration> time_to_answer(time_point sent_at) const;
+
     /// A call was answered that was sent at a time.
     void on_answered(time_point sent_at);
 
--- a/src/store/watch_supervision.cpp
+++ b/src/store/watch_supervision.cpp
@@ -16,6 +16,8 @@
 
 constexpr duration min_patience = std::chrono::milliseconds(300);
 constexpr duration max_patience = std::chrono::milliseconds(2400);
+/// Of a watch that follows an answer, however long that took.
+constexpr duration max_expected_patience = std::chrono::milliseconds(1200);
 /// Longest pause within an answer. Two retransmissions in a row fit in.
 constexpr duration max_stall = std::chrono::seconds(1);
 /// An answer that arrives more slowly counts as missing: the next one may come
@@ -74,10 +76,11 @@
     unanswered_ = 0;
 }
 
-void watch_supervision::on_answered()
+void watch_supervision::on_answered(std::optional<duration> took)
 {
     unanswered_ = 0;
-    patience_ = min_patience;
+    patience_ = std::clamp(took ? 2 * *took : patience_ / 2, min_patience,
+                           max_expected_patience);
 }
 
 } // namespace siskinflow
--- a/src/store/watch_supervision.hpp
+++ b/src/store/watch_supervision.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace siskinflow
@@ -61,7 +62,8 @@
     void on_listing();
 
     /// @brief A watch or a listing was answered.
-    void on_answered();
+    /// @param took time to the answer since it was due, if that is known
+    void on_answered(std::optional<duration> took);
 
 private:
     duration patience_;
