Give a call of the store more time after a timeout

After a connect timeout the next connection gets 1 s; after an answer timeout a short call gets twice its time.

Test: store_slow_links/a_call_after_a_timeout_gets_more_time failed before.

--- a/tests/unit/store_slow_links_test.cpp
+++ b/tests/unit/store_slow_links_test.cpp
@@ -1,9 +1,11 @@
 #include "kv_store.hpp"
 #include "test_sections.hpp"
 #include <siskinflow/net/http_client.hpp>
+#include <siskinflow/store/call_patience.hpp>
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <deque>
 #include <netinet/in.h>
 #include <optional>
 #include <string>
@@ -107,6 +109,46 @@
     net::http_client caller{loop};
 };
 
+/// Records the requests of a store's client and ends them as the test says.
+class recording_caller final : public net::http_caller
+{
+public:
+    std::shared_ptr<net::http_call>
+    start(net::client_request request,
+          std::shared_ptr<net::call_observer> observer) override
+    {
+        requests.push_back(std::move(request));
+        observers.push_back(std::move(observer));
+        return std::make_shared<handle>();
+    }
+    void close_idle_connections(const net::endpoint& /*peer*/) override {}
+
+    void end(net::call_outcome outcome)
+    {
+        const auto observer = observers.back();
+        if (outcome == net::call_outcome::complete)
+        {
+            observer->on_head(200, {}, {});
+        }
+        observer->on_end(outcome);
+    }
+
+    std::deque<net::client_request> requests;
+    std::deque<std::shared_ptr<net::call_observer>> observers;
+
+private:
+    class handle final : public net::http_call
+    {
+        void cancel() override {}
+        void pause() override {}
+        void resume() override {}
+        bool sent() const override
+        {
+            return true;
+        }
+    };
+};
+
 } // namespace
 
 // Guards against a listing that is given up and begun again for ever because
@@ -158,3 +200,39 @@
                        net::call_outcome::complete);
             });
 }
+
+// Guards against calls that are made again with the same timeouts while the
+// link takes longer.
+Test(store_slow_links, a_call_after_a_timeout_gets_more_time)
+{
+    recording_caller caller;
+    platform::kv_store store(caller, {"127.0.0.1", 1});
+    const auto renew = [&]
+    {
+        store.renew_lease(1, 1s, [](const result<void>&) {});
+        return caller.requests.back();
+    };
+    EXPECT(renew().connect_timeout == 500ms);
+    section("to connect",
+            [&]
+            {
+                caller.end(net::call_outcome::connect_timed_out);
+                EXPECT(renew().connect_timeout == 1s);
+                EXPECT(caller.requests.back().timeout == 1s);
+                caller.end(net::call_outcome::connect_timed_out);
+                EXPECT(renew().connect_timeout == 1s);
+            });
+    section("to answer",
+            [&]
+            {
+                caller.end(net::call_outcome::timed_out);
+                EXPECT(renew().timeout == 2s);
+            });
+    section("until one is answered",
+            [&]
+            {
+                caller.end(net::call_outcome::complete);
+                EXPECT(renew().timeout == 1s);
+                EXPECT(caller.requests.back().connect_timeout == 500ms);
+            });
+}
