--- a/tests/unit/linked_store.hpp
+++ b/tests/unit/linked_store.hpp
@@ -44,6 +44,22 @@
         answer_waiting_watch();
     }
 
+    /// @brief The store comes back from a copy without its last changes; its
+    /// revisions are assigned again.
+    void return_to_copy(std::size_t lost_changes)
+    {
+        ++era_;
+        const std::size_t kept = std::max<std::size_t>(
+            1, history_.size() - std::min(lost_changes, history_.size()));
+        history_.resize(kept);
+        for (siskinflow::store_change& change : history_)
+        {
+            change.position.era = era_;
+        }
+        revision_ = history_.back().position.revision;
+        cancel_watch({}); // Its connection is lost.
+    }
+
     siskinflow::store_position position() const
     {
         return {era_, revision_};
@@ -174,7 +190,7 @@
         out.position = position();
         for (const siskinflow::store_change& change : history_)
         {
-            if (change.position <= after)
+            if (change.position.revision <= after.revision)
             {
                 continue;
             }
--- a/tests/unit/store_mirror_links_test.cpp
+++ b/tests/unit/store_mirror_links_test.cpp
@@ -97,6 +97,15 @@
         }
     }
 
+    /// The store loses the last versions; the next one is written in its new
+    /// era.
+    void return_to_copy(std::size_t lost_versions)
+    {
+        store_.return_to_copy(lost_versions);
+        written_.clear();
+        write();
+    }
+
     void forget_ages()
     {
         longest_age_ = duration::zero();
@@ -191,7 +200,8 @@
 }
 
 // Guards against the same over any link and any series of versions: what the
-// link can carry is in force soon after, also if calls are lost.
+// link can carry is in force soon after, also if calls are lost or the store
+// returns from an older copy.
 Test(store_mirror_links, is_behind_for_a_bounded_time)
 {
     const bool holds = rc::check(
@@ -209,7 +219,7 @@
             {
                 const auto gap = std::chrono::milliseconds(draw(50, 900));
                 const auto length = std::chrono::milliseconds(draw(100, 5000));
-                switch (draw(0, 4))
+                switch (draw(0, 5))
                 {
                 case 0:
                     run.freeze(length, gap);
@@ -228,6 +238,10 @@
                     run.mirror().confirm_for_others(draw(0, 1) == 1);
                     run.pass(length);
                     break;
+                case 4:
+                    run.return_to_copy(static_cast<std::size_t>(draw(1, 9)));
+                    run.storm(length, gap);
+                    break;
                 default:
                     run.storm(length, gap);
                     break;
