Count an answer as delivered when the caller has it

Cause: a request counted as ended once the kernel had its answer, and a closing connection was closed 1 s after the last write, however slowly its caller read.

A stopping process now ends before its grace time only when callers have acknowledged all that was written, and a closing connection drops its input until then. The 30 s and the write stall timeout bound it.

--- a/include/siskinflow/net/http_server.hpp
+++ b/include/siskinflow/net/http_server.hpp
@@ -179,6 +179,11 @@
     /// socket as a whole; those with a disconnected caller do not count.
     std::size_t open_exchanges() const;
 
+    /// @brief Number of connections whose client has not acknowledged all that
+    /// was written to the socket. A process that ends before may lose what the
+    /// kernel still sends.
+    std::size_t undelivered_connections() const;
+
     /// @brief Counts since the start.
     http_server_stats stats() const;
 
--- a/src/entry/entry_node_life.cpp
+++ b/src/entry/entry_node_life.cpp
@@ -58,8 +58,9 @@
         return;
     }
     // Answers may still be on their way to callers on slow links.
-    const bool idle =
-        path->in_progress() == 0 && http_server->open_exchanges() == 0;
+    const bool idle = path->in_progress() == 0 &&
+                      http_server->open_exchanges() == 0 &&
+                      http_server->undelivered_connections() == 0;
     const bool ends = idle || time.now() >= drain_deadline;
     if (ends && lifecycle.apply(lifecycle_event::idle))
     {
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -526,8 +526,10 @@
     {
         cut_requests();
     }
-    const bool idle =
-        state.in_progress.empty() && requests->open_exchanges() == 0;
+    const bool idle = state.in_progress.empty() &&
+                      requests->open_exchanges() == 0 &&
+                      requests->undelivered_connections() == 0 &&
+                      directory->undelivered_connections() == 0;
     const bool lookups_expired = lifecycle.state() != lifecycle_state::leaving;
     if ((idle && lookups_expired) || now >= state.stop->exit_at())
     {
@@ -547,7 +549,8 @@
     if (!idle)
     {
         log.write(event_id::answers_cut,
-                  {{"count", requests->open_exchanges()}});
+                  {{"count", requests->open_exchanges()},
+                   {"undelivered", requests->undelivered_connections()}});
     }
     log.write(event_id::stopped,
               {{"reason", idle ? "idle" : "grace time expired"},
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -79,6 +79,14 @@
     return impl_->context->open_exchanges;
 }
 
+std::size_t http_server::undelivered_connections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(impl_->connections.begin(), impl_->connections.end(),
+                      [](const auto& entry)
+                      { return entry.second->has_undelivered_output(); }));
+}
+
 http_server_stats http_server::stats() const
 {
     return impl_->context->counts;
@@ -107,7 +115,8 @@
 void http_server::close_after_responses()
 {
     impl_->context->closing = true;
-    // What the kernel has taken arrives also if the process ends first.
+    // What the kernel has taken arrives also if the process is killed first,
+    // unless the client sends more.
     if (impl_->listener != nullptr)
     {
         lift_unsent_limit(h2o_socket_get_fd(impl_->listener));
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -11,9 +11,11 @@
 namespace
 {
 
-/// Time for which input is discarded after the last answer: closing a socket
-/// with unread input would reset the connection and lose the answer.
+/// Least time for which input is discarded after the last answer: closing a
+/// socket with unread input would reset the connection and lose the answer.
 constexpr duration discard_time = std::chrono::seconds(1);
+/// Longest such time, however slowly the client reads the answer.
+constexpr duration max_discard_time = std::chrono::seconds(30);
 /// Closing connections that do not count as open; bounds the descriptors.
 constexpr std::size_t max_only_closing = 64;
 
@@ -31,7 +33,7 @@
       message_began_at_(context_->loop.now()), received_at_(message_began_at_),
       receive_timer_at_(message_began_at_), written_at_(message_began_at_),
       idle_since_(message_began_at_), paused_at_(message_began_at_),
-      close_at_(message_began_at_)
+      close_at_(message_began_at_), delivered_at_(message_began_at_)
 {
 }
 
@@ -112,7 +114,9 @@
         --context_->counts.open;
         ++context_->only_closing;
     }
-    close_at_ = context_->loop.now() + discard_time;
+    delivered_at_ = context_->loop.now();
+    close_at_ = delivered_at_ + discard_time;
+    undelivered_bytes_ = socket_.undelivered_bytes();
     socket_.end_sending();
     socket_.start_reading();
     context_->on_timing_changed();
@@ -417,6 +421,21 @@
            exchanges_.back().get() == &exchange;
 }
 
+/// Whether the client has the answer. Input that arrives for a closed socket
+/// would reset the connection, and what the kernel still sends would be lost.
+bool server_connection::is_close_complete(time_point now)
+{
+    const std::size_t undelivered = socket_.undelivered_bytes();
+    if (std::exchange(undelivered_bytes_, undelivered) > undelivered)
+    {
+        delivered_at_ = now;
+    }
+    const bool given_up =
+        now - delivered_at_ >= context_->options.write_stall_timeout ||
+        now >= close_at_ + max_discard_time - discard_time;
+    return now >= close_at_ && (undelivered == 0 || given_up);
+}
+
 bool server_connection::needs_frequent_checks() const
 {
     return paused_ || closing_gracefully_ || end_of_input_;
@@ -438,7 +457,7 @@
                          now - written_at_ >= options.write_stall_timeout;
     const bool unread = !socket_.is_reading() && !socket_.handshaking();
     const bool gone = unread && socket_.is_reset_by_peer();
-    if (stalled || gone || (closing_gracefully_ && now >= close_at_) ||
+    if (stalled || gone || (closing_gracefully_ && is_close_complete(now)) ||
         idle_for(now) >= options.idle_timeout ||
         (socket_.handshaking() &&
          now - message_began_at_ >= options.header_timeout))
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -79,6 +79,12 @@
         socket_.lift_unsent_limit();
     }
 
+    /// @brief Whether the client has not acknowledged all that was written.
+    bool has_undelivered_output() const
+    {
+        return socket_.undelivered_bytes() > 0;
+    }
+
     /// @brief Whether `check` is to be called soon rather than now and then.
     bool needs_frequent_checks() const;
 
@@ -150,6 +156,7 @@
     void cancel_from(std::size_t first);
     void release(std::shared_ptr<server_exchange> exchange);
     void close_gracefully();
+    bool is_close_complete(time_point now);
 
     const std::shared_ptr<server_context> context_;
     server_socket socket_;
@@ -168,8 +175,10 @@
     time_point written_at_;       ///< Last progress of the output.
     time_point idle_since_;
     time_point paused_at_;
-    time_point close_at_;        ///< End of a graceful close.
-    bool parsing_ended_ = false; ///< No further request is handed over.
+    time_point close_at_;               ///< Earliest end of a graceful close.
+    std::size_t undelivered_bytes_ = 0; ///< At the last check of the close.
+    time_point delivered_at_;           ///< When some of them were delivered.
+    bool parsing_ended_ = false;        ///< No further request is handed over.
     bool discarded_input_ = false;
     bool paused_ = false;
     bool waits_for_room_ = false;
--- a/src/net/server_socket.cpp
+++ b/src/net/server_socket.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace siskinflow::net
@@ -243,6 +245,16 @@
     }
 }
 
+std::size_t server_socket::undelivered_bytes() const
+{
+    int bytes = 0;
+    const bool known = socket_ != nullptr && ::ioctl(h2o_socket_get_fd(socket_),
+                                                     SIOCOUTQ, &bytes) == 0;
+    return known && bytes > 0 && !is_reset_by_peer()
+               ? static_cast<std::size_t>(bytes)
+               : 0;
+}
+
 void server_socket::end_sending()
 {
     if (socket_ != nullptr)
--- a/src/net/server_socket.hpp
+++ b/src/net/server_socket.hpp
@@ -82,6 +82,10 @@
     /// @brief Lets the kernel take as much unsent output as it wants.
     void lift_unsent_limit();
 
+    /// @brief Bytes that the kernel has taken and the peer has not
+    /// acknowledged; 0 once the connection is lost.
+    std::size_t undelivered_bytes() const;
+
     /// @brief Ends the sending side; what was written still arrives.
     void end_sending();
 
--- a/src/telemetry/event_id.cpp
+++ b/src/telemetry/event_id.cpp
@@ -81,7 +81,7 @@
 constexpr std::string_view policy_row_fields[] = {"revision", "table", "item",
                                                   "reason", "handling"};
 
-constexpr std::string_view answers_cut_fields[] = {"count"};
+constexpr std::string_view answers_cut_fields[] = {"count", "undelivered"};
 constexpr std::string_view target_withdrawn_fields[] = {
     "target", "service", "reason", "for_ms", "told_by"};
 constexpr std::string_view target_wanted_again_fields[] = {"target", "service"};
--- a/tests/process/gateway_stop_test.cpp
+++ b/tests/process/gateway_stop_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <csignal>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -96,12 +97,22 @@
     std::map<int, int> statuses_;
 };
 
+/// How fast a caller reads, and when it sends again.
+struct slow_reading
+{
+    double bytes_per_s = 2.5e6;
+    /// Time after the first order at which the next one is sent on the same
+    /// connection; empty: none is sent.
+    std::optional<std::chrono::milliseconds> next_order_after;
+};
+
 /// Sends an order on a connection of its own and receives the answer slowly.
 class slow_caller
 {
 public:
-    slow_caller(std::uint16_t port, std::string id)
-        : worker_([this, port, id = std::move(id)] { receive(port, id); })
+    slow_caller(std::uint16_t port, std::string id, slow_reading reading = {})
+        : reading_(reading),
+          worker_([this, port, id = std::move(id)] { receive(port, id); })
     {
     }
 
@@ -118,7 +129,16 @@
 
 private:
     static constexpr std::size_t part_bytes = 64U << 10;
-    static constexpr double bytes_per_s = 2.5e6;
+
+    static std::string order(const std::string& id)
+    {
+        return "POST /orders/1 HTTP/1.1\r\nHost: site.example\r\n"
+               "Siskinflow-Request-Id: " +
+               id +
+               "\r\nSiskinflow-Request-Deadline-Ms: 15000\r\n"
+               "Authorization: Bearer key-of-acme\r\n"
+               "Content-Length: 2\r\n\r\nab";
+    }
 
     void receive(std::uint16_t port, const std::string& id)
     {
@@ -132,16 +152,22 @@
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         (void)::connect(descriptor, reinterpret_cast<sockaddr*>(&address),
                         sizeof(address));
-        const std::string request =
-            "POST /orders/1 HTTP/1.1\r\nHost: site.example\r\n"
-            "Siskinflow-Request-Id: " +
-            id +
-            "\r\nSiskinflow-Request-Deadline-Ms: 15000\r\n"
-            "Authorization: Bearer key-of-acme\r\nContent-Length: 2\r\n\r\nab";
-        (void)::send(descriptor, request.data(), request.size(), MSG_NOSIGNAL);
+        const auto send_order = [descriptor](const std::string& request) {
+            (void)::send(descriptor, request.data(), request.size(),
+                         MSG_NOSIGNAL);
+        };
+        const auto sent_at = std::chrono::steady_clock::now();
+        send_order(order(id));
         std::vector<char> part(part_bytes);
+        bool next_due = reading_.next_order_after.has_value();
         for (;;)
         {
+            if (next_due && std::chrono::steady_clock::now() - sent_at >=
+                                *reading_.next_order_after)
+            {
+                next_due = false;
+                send_order(order(id + "-next"));
+            }
             const auto count = ::recv(descriptor, part.data(), part.size(), 0);
             if (count <= 0)
             {
@@ -149,12 +175,13 @@
             }
             received_ += static_cast<std::size_t>(count);
             std::this_thread::sleep_for(
-                std::chrono::duration<double>(count / bytes_per_s));
+                std::chrono::duration<double>(count / reading_.bytes_per_s));
         }
         ::close(descriptor);
         ended_ = true;
     }
 
+    const slow_reading reading_;
     std::atomic<std::size_t> received_{0};
     std::atomic<bool> ended_{false};
     std::jthread worker_;
@@ -251,3 +278,37 @@
         EXPECT(caller->received() > answer_bytes);
     }
 }
+
+// Guards against a process that ends while the kernel still sends an answer:
+// the caller's next order would reset the connection, and the rest of the
+// answer would be lost (LOST, review/14).
+Test(gateway_stop, an_order_on_the_way_does_not_cut_the_answer_before_it)
+{
+    constexpr std::size_t answer_bytes = 6U << 20;
+    gateway_world world(2);
+    auto target = named("o1");
+    target.min_answer_bytes = answer_bytes;
+    world.add_target("orders", target);
+    world.configure();
+    EXPECT(world.start_all());
+    caller_request order;
+    order.path = "/orders/1";
+    order.method = "POST";
+    EXPECT(world.until(
+        [&] { return world.call(0, order).response.status != 429; }));
+    std::vector<std::unique_ptr<slow_caller>> callers;
+    for (int i = 0; i < 3; ++i)
+    {
+        callers.push_back(std::make_unique<slow_caller>(
+            world.ports(0).requests, "slow-" + std::to_string(i),
+            slow_reading{1.4e6, 4000ms}));
+    }
+    world.run_for(400ms);
+    world.vm(0).signal(SIGTERM);
+    EXPECT(exit_code(world, 0) == 0);
+    for (const auto& caller : callers)
+    {
+        EXPECT(world.until([&] { return caller->ended(); }));
+        EXPECT(caller->received() > answer_bytes);
+    }
+}
