Play storms of large configurations in the soak

The soak pauses a VM while large configurations come in quick succession over a slow link to the store, and asks that VM during the storm with a key that was withdrawn and with one that was added.

The store's stand-in answered a watch with the newest version of each key.

--- a/standins/lib/kv_service.cpp
+++ b/standins/lib/kv_service.cpp
@@ -16,6 +16,8 @@
 
 /// Items of one page; smaller than the platform's so that tests see pages.
 constexpr std::size_t max_page_items = 50;
+/// Of the values in one answer to a watch.
+constexpr std::size_t max_page_bytes = 1U << 20;
 
 std::string query_value(std::string_view query, std::string_view name)
 {
@@ -113,6 +115,17 @@
             {"lease", entry.lease}};
 }
 
+json kv_service::to_json(const event& change) const
+{
+    if (!change.written)
+    {
+        return {{"key", change.key},
+                {"revision", change.revision},
+                {"tombstone", true}};
+    }
+    return to_json(change.key, *change.written);
+}
+
 void kv_service::range(const net::exchange_ptr& exchange)
 {
     const std::string& query = exchange->request().query;
@@ -163,6 +176,8 @@
 bool kv_service::try_answer_watch(const watcher& waiting)
 {
     json events = json::array();
+    std::size_t bytes = 0;
+    std::int64_t revision = now_.revision;
     for (const event& change : now_.history)
     {
         if (change.revision <= waiting.after ||
@@ -170,24 +185,20 @@
         {
             continue;
         }
-        const auto present = now_.items.find(change.key);
-        if (change.removed || present == now_.items.end())
-        {
-            events.push_back({{"key", change.key},
-                              {"revision", change.revision},
-                              {"tombstone", true}});
-        }
-        else if (present->second.revision == change.revision)
+        if (bytes > max_page_bytes)
         {
-            events.push_back(to_json(change.key, present->second));
+            revision = events.back().at("revision").get<std::int64_t>();
+            break;
         }
+        events.push_back(to_json(change));
+        bytes += change.written ? change.written->value.size() : 0;
     }
     if (events.empty() && time_.now() < waiting.deadline)
     {
         return false;
     }
     respond(waiting.exchange, 200,
-            {{"events", events}, {"current-rev", now_.revision}});
+            {{"events", events}, {"current-rev", revision}});
     return true;
 }
 
@@ -275,14 +286,14 @@
     entry.value = base64;
     entry.revision = revision;
     entry.lease = lease;
-    now_.history.push_back({revision, key, false});
+    now_.history.push_back({revision, key, entry});
 }
 
 void kv_service::erase(const std::string& key, std::int64_t revision)
 {
     if (now_.items.erase(key) != 0)
     {
-        now_.history.push_back({revision, key, true});
+        now_.history.push_back({revision, key, std::nullopt});
     }
 }
 
--- a/standins/lib/kv_service.hpp
+++ b/standins/lib/kv_service.hpp
@@ -13,6 +13,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace standin
@@ -99,7 +100,7 @@
     {
         std::int64_t revision = 0;
         std::string key;
-        bool removed = false;
+        std::optional<item> written; ///< Empty if the key was removed.
     };
     struct lease
     {
@@ -114,6 +115,8 @@
         siskinflow::time_point deadline;
     };
 
+    nlohmann::json to_json(const event& change) const;
+
     /// What a copy holds.
     struct content
     {
--- a/tests/lib/gateway_world.cpp
+++ b/tests/lib/gateway_world.cpp
@@ -184,6 +184,13 @@
         routes.push_back(route(name, "non_idempotent"));
         services.push_back(service(name));
     }
+    for (std::size_t i = 0; i < unused_routes_; ++i)
+    {
+        json unused = route("maps", "idempotent");
+        unused["name"] = "unused-" + std::to_string(i);
+        unused["prefix"] = "/unused-" + std::to_string(i) + "/";
+        routes.push_back(unused);
+    }
     const json document = {{"version", "r" + std::to_string(++version_)},
                            {"routes", table(routes)},
                            {"services", table(services)},
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -8,6 +8,7 @@
 #include "group_load.hpp"
 #include "pipelined_load.hpp"
 #include "soak_report.hpp"
+#include "storm_check.hpp"
 
 #include <gflags/gflags.h>
 
@@ -266,6 +267,10 @@
                 { return load.idle() && pipelined.idle() && groups.idle(); },
                 quiet_limit);
     check_lost_watches(world, promises);
+    if (FLAGS_vms > 1)
+    {
+        storm_check(world, promises, FLAGS_seed % FLAGS_vms).run();
+    }
     const bool quiet = world.until(
         [&]
         {
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -175,6 +175,12 @@
         gateway_program_ = std::move(path);
     }
 
+    /// @brief Makes the configurations larger from the next version on.
+    void add_unused_routes(std::size_t count)
+    {
+        unused_routes_ = count;
+    }
+
     /// @brief Sets the keys of the organisation from the next version on.
     void set_keys(std::vector<std::string> keys)
     {
@@ -246,6 +252,7 @@
     std::vector<std::string> keys_ = {"key-of-acme"};
     std::vector<nlohmann::json> other_organisations_;
     std::vector<std::string> order_services_;
+    std::size_t unused_routes_ = 0;
     std::chrono::milliseconds order_timeout_{3000};
     std::size_t max_body_bytes_ = 65536;
     unsigned version_ = 0;
