--- a/tests/process/gateway_stop_test.cpp
+++ b/tests/process/gateway_stop_test.cpp
@@ -202,6 +202,37 @@
     return code;
 }
 
+/// Stops a VM while three callers receive large answers from it, and requires
+/// that each answer arrives whole.
+void expect_whole_answers(std::size_t answer_bytes, slow_reading reading)
+{
+    gateway_world world(2);
+    auto target = named("o1");
+    target.min_answer_bytes = answer_bytes;
+    world.add_target("orders", target);
+    world.configure();
+    EXPECT(world.start_all());
+    caller_request order;
+    order.path = "/orders/1";
+    order.method = "POST";
+    EXPECT(world.until(
+        [&] { return world.call(0, order).response.status != 429; }));
+    std::vector<std::unique_ptr<slow_caller>> callers;
+    for (int i = 0; i < 3; ++i)
+    {
+        callers.push_back(std::make_unique<slow_caller>(
+            world.ports(0).requests, "slow-" + std::to_string(i), reading));
+    }
+    world.run_for(400ms);
+    world.vm(0).signal(SIGTERM);
+    EXPECT(exit_code(world, 0) == 0);
+    for (const auto& caller : callers)
+    {
+        EXPECT(world.until([&] { return caller->ended(); }));
+        EXPECT(caller->received() > answer_bytes);
+    }
+}
+
 } // namespace
 
 // Guards against requests that a stopping VM accepts and cuts when it ends,
@@ -251,32 +282,7 @@
 // are still receiving them (LOST).
 Test(gateway_stop, answers_are_sent_to_their_end)
 {
-    constexpr std::size_t answer_bytes = 16U << 20;
-    gateway_world world(2);
-    auto target = named("o1");
-    target.min_answer_bytes = answer_bytes;
-    world.add_target("orders", target);
-    world.configure();
-    EXPECT(world.start_all());
-    caller_request order;
-    order.path = "/orders/1";
-    order.method = "POST";
-    EXPECT(world.until(
-        [&] { return world.call(0, order).response.status != 429; }));
-    std::vector<std::unique_ptr<slow_caller>> callers;
-    for (int i = 0; i < 3; ++i)
-    {
-        callers.push_back(std::make_unique<slow_caller>(
-            world.ports(0).requests, "slow-" + std::to_string(i)));
-    }
-    world.run_for(400ms);
-    world.vm(0).signal(SIGTERM);
-    EXPECT(exit_code(world, 0) == 0);
-    for (const auto& caller : callers)
-    {
-        EXPECT(world.until([&] { return caller->ended(); }));
-        EXPECT(caller->received() > answer_bytes);
-    }
+    expect_whole_answers(16U << 20, {});
 }
 
 // Guards against a process that ends while the kernel still sends an answer:
@@ -284,31 +290,5 @@
 // answer would be lost (LOST, review/14).
 Test(gateway_stop, an_order_on_the_way_does_not_cut_the_answer_before_it)
 {
-    constexpr std::size_t answer_bytes = 6U << 20;
-    gateway_world world(2);
-    auto target = named("o1");
-    target.min_answer_bytes = answer_bytes;
-    world.add_target("orders", target);
-    world.configure();
-    EXPECT(world.start_all());
-    caller_request order;
-    order.path = "/orders/1";
-    order.method = "POST";
-    EXPECT(world.until(
-        [&] { return world.call(0, order).response.status != 429; }));
-    std::vector<std::unique_ptr<slow_caller>> callers;
-    for (int i = 0; i < 3; ++i)
-    {
-        callers.push_back(std::make_unique<slow_caller>(
-            world.ports(0).requests, "slow-" + std::to_string(i),
-            slow_reading{1.4e6, 4000ms}));
-    }
-    world.run_for(400ms);
-    world.vm(0).signal(SIGTERM);
-    EXPECT(exit_code(world, 0) == 0);
-    for (const auto& caller : callers)
-    {
-        EXPECT(world.until([&] { return caller->ended(); }));
-        EXPECT(caller->received() > answer_bytes);
-    }
+    expect_whole_answers(6U << 20, {1.4e6, 4000ms});
 }
