--- a/standins/lib/kv_service.cpp
+++ b/standins/lib/kv_service.cpp
@@ -178,6 +178,7 @@
     json events = json::array();
     std::size_t bytes = 0;
     std::int64_t revision = now_.revision;
+    std::int64_t last_revision = waiting.after; // Of the last event.
     for (const event& change : now_.history)
     {
         if (change.revision <= waiting.after ||
@@ -185,11 +186,14 @@
         {
             continue;
         }
-        if (bytes > max_page_bytes)
+        // The changes of one revision stay together: a reader continues after
+        // it.
+        if (bytes > max_page_bytes && change.revision > last_revision)
         {
-            revision = events.back().at("revision").get<std::int64_t>();
+            revision = last_revision;
             break;
         }
+        last_revision = change.revision;
         events.push_back(to_json(change));
         bytes += change.written ? change.written->value.size() : 0;
     }
